--- /dev/null
+++ b/src/bin/latchfront/config.rs
@@ -0,0 +1,98 @@
+//! What the balancer is told at its start, and the bounds that follow from its limits.
+
+use std::env;
+use std::net::SocketAddr;
+
+use petreltack::settings::Facts;
+use serde::Deserialize;
+
+use crate::discovery::Snapshot;
+
+/// The largest request body taken.
+pub const BODY_MAX: usize = 32 << 20;
+/// Bodies and answers up to this size are held whole without drawing on a budget.
+pub const SMALL: usize = 64 << 10;
+/// Descriptors kept for all that is neither a client nor an upstream: standard streams, the
+/// listener, the event queue, discovery.
+const SOCKETS_OTHER: usize = 24;
+/// Fewest descriptors and least memory that the balancer can work in.
+const SOCKETS_LEAST: usize = 64;
+const MEMORY_LEAST_MB: usize = 96;
+
+#[derive(Deserialize)]
+struct File {
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: String,
+    limits: Limits,
+    #[serde(default)]
+    known: Option<Snapshot>,
+    settings: Facts,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    memory_mb: usize,
+    sockets: usize,
+}
+
+pub struct Config {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub known: Option<Snapshot>,
+    pub facts: Facts,
+    /// Most client connections.
+    pub clients: usize,
+    /// Most connections to upstreams.
+    pub upstreams: usize,
+    /// Bytes for bodies past [`SMALL`], apart from the one reserve of [`BODY_MAX`].
+    pub bodies: usize,
+}
+
+impl Config {
+    /// Reads the file that `ROUTER_CONFIG` names; its siblings stand in where it is silent.
+    pub fn load() -> Result<Self, String> {
+        let path = env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set".to_string())?;
+        let text = std::fs::read(&path).map_err(|e| format!("configuration {path}: {e}"))?;
+        let mut reader = serde_json::Deserializer::from_slice(&text);
+        let file: File = serde_path_to_error::deserialize(&mut reader)
+            .map_err(|e| format!("configuration {path}: field `{}`: {}", e.path(), e.inner()))?;
+        Self::from_file(file).map_err(|e| format!("configuration {path}: {e}"))
+    }
+
+    fn from_file(file: File) -> Result<Self, String> {
+        let address = |field: &str, value: Option<String>, variable: &str| {
+            let value = value.or_else(|| env::var(variable).ok());
+            let value = value.ok_or(format!("field `{field}`: missing, and no {variable}"))?;
+            value.parse().map_err(|_| format!("field `{field}`: no address: {value:?}"))
+        };
+        let Limits { memory_mb, sockets } = file.limits;
+        if sockets < SOCKETS_LEAST {
+            return Err(format!("field `limits.sockets`: {sockets} is under {SOCKETS_LEAST}"));
+        }
+        if memory_mb < MEMORY_LEAST_MB {
+            return Err(format!(
+                "field `limits.memory_mb`: {memory_mb} is under {MEMORY_LEAST_MB}"
+            ));
+        }
+        let seed = match file.seed.as_str() {
+            "" => 0,
+            hex => u64::from_str_radix(hex, 16)
+                .map_err(|_| format!("field `seed`: not up to 16 hex digits: {hex:?}"))?,
+        };
+        // A quarter for upstreams: each carries one request at a time, while clients mostly idle.
+        let upstreams = (sockets - SOCKETS_OTHER) / 4;
+        Ok(Self {
+            listen: address("listen", file.listen, "ROUTER_LISTEN")?,
+            discovery: address("discovery", file.discovery, "ROUTER_DISCOVERY")?,
+            seed,
+            known: file.known,
+            facts: file.settings,
+            clients: sockets - SOCKETS_OTHER - upstreams,
+            upstreams,
+            bodies: (memory_mb << 20) / 5,
+        })
+    }
+}
--- /dev/null
+++ b/src/bin/latchfront/wire.rs
@@ -0,0 +1,203 @@
+//! A TCP connection as hyper drives it, with the facts about its bytes that the
+//! balancer judges by: how much of a request has left, and when the last bytes moved.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{Instant, Sleep, sleep};
+
+/// What is known of one connection, shared by hyper's side and ours.
+pub struct Wire {
+    stream: TcpStream,
+    /// When bytes last came.
+    pub read_at: Cell<Instant>,
+    /// When bytes last left.
+    pub wrote_at: Cell<Instant>,
+    /// The peer does not take what is written.
+    pub blocked: Cell<bool>,
+    /// Bytes of the present request that have not left yet.
+    left: Cell<u64>,
+    /// Keeps the last byte of the present request back for this long.
+    hold: RefCell<Option<Hold>>,
+    /// Its descriptor's place in the fixed split; freed once the socket is closed.
+    _slot: OwnedSemaphorePermit,
+}
+
+enum Hold {
+    For(Duration),
+    Until(Pin<Box<Sleep>>),
+}
+
+impl Wire {
+    pub fn new(stream: TcpStream, slot: OwnedSemaphorePermit) -> Rc<Self> {
+        // A request or answer goes out in one piece or waits for nothing: Nagle only delays.
+        let _ = stream.set_nodelay(true);
+        let now = Instant::now();
+        Rc::new(Self {
+            stream,
+            read_at: Cell::new(now),
+            wrote_at: Cell::new(now),
+            blocked: Cell::new(false),
+            left: Cell::new(0),
+            hold: RefCell::new(None),
+            _slot: slot,
+        })
+    }
+
+    /// A request of this many bytes is about to be written. With `hold`, its last byte is kept
+    /// back for so long: a rested connection that the peer resets at the first byte breaks
+    /// before the request is whole, so that it provably never ran.
+    pub fn begin(&self, bytes: u64, hold: Option<Duration>) {
+        self.left.set(bytes);
+        *self.hold.borrow_mut() = hold.map(Hold::For);
+    }
+
+    /// Whether the last byte of the present request has left.
+    pub fn all_written(&self) -> bool {
+        self.left.get() == 0
+    }
+
+    /// Whether the peer has said nothing at all on this idle connection: neither its end nor
+    /// a stray byte, whatever hyper has not yet been woken for.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Whether bytes of the peer wait to be read.
+    pub fn has_input(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        matches!(SockRef::from(&self.stream).peek(&mut byte), Ok(n) if n > 0)
+    }
+
+    /// Ends both directions at once: nothing more goes out, however long the socket lives on.
+    pub fn cut(&self) {
+        let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Both);
+    }
+
+    /// Makes the close a reset, so that the peer can tell a broken answer from a whole one.
+    pub fn reset_on_close(&self) {
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+
+    /// Ends our direction and takes in what the peer still sends, for a while: closing with
+    /// unread bytes would send a reset, and the reset would eat an answer on its way.
+    pub async fn drain(&self, at_most: Duration) {
+        let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
+        let rest = async {
+            let mut scratch = [0; 4096];
+            while self.stream.readable().await.is_ok() {
+                match self.stream.try_read(&mut scratch) {
+                    Ok(0) => return,
+                    Ok(_) => tokio::task::yield_now().await,
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(_) => return,
+                }
+            }
+        };
+        let _ = tokio::time::timeout(at_most, rest).await;
+    }
+}
+
+/// hyper's handle on a [`Wire`]; `on_read` hears of bytes as they come.
+pub struct Io<F> {
+    pub wire: Rc<Wire>,
+    pub on_read: F,
+}
+
+impl<F: Fn() + Unpin> AsyncRead for Io<F> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let wire = &self.wire;
+        loop {
+            ready!(wire.stream.poll_read_ready(cx))?;
+            match wire.stream.try_read_buf(buf) {
+                Ok(n) => {
+                    if n > 0 {
+                        wire.read_at.set(Instant::now());
+                        (self.on_read)();
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl<F: Fn() + Unpin> AsyncWrite for Io<F> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let wire = &self.wire;
+        let mut take = buf.len();
+        if let Some(hold) = &mut *wire.hold.borrow_mut() {
+            let left = wire.left.get();
+            if left > 1 {
+                take = take.min((left - 1) as usize);
+            } else {
+                if let Hold::For(time) = *hold {
+                    *hold = Hold::Until(Box::pin(sleep(time)));
+                }
+                if let Hold::Until(sleep) = hold {
+                    ready!(sleep.as_mut().poll(cx));
+                }
+            }
+        }
+        loop {
+            wire.blocked.set(true);
+            ready!(wire.stream.poll_write_ready(cx))?;
+            match wire.stream.try_write(&buf[..take]) {
+                Ok(n) => {
+                    wire.blocked.set(false);
+                    wire.wrote_at.set(Instant::now());
+                    wire.left.set(wire.left.get().saturating_sub(n as u64));
+                    return Poll::Ready(Ok(n));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let _ = SockRef::from(&self.wire.stream).shutdown(std::net::Shutdown::Write);
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// A task that lives no longer than its owner. hyper may keep a connection whose answer was
+/// given up open for as long as its peer says nothing.
+pub struct Task(AbortHandle);
+
+impl Task {
+    pub fn spawn<T: 'static>(work: impl Future<Output = T> + 'static) -> Self {
+        Self(spawn_local(work).abort_handle())
+    }
+}
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,1086 @@
+//! Every decision of the balancer, and nothing else: no clock, no I/O, no threads.
+//!
+//! The ordinary path is the mechanism of Ould Deye et al.: a first-come queue at the
+//! proxy, at most `K_i = 2*TP_i/TS_i + 1` requests out per upstream, and refusal once
+//! queued plus in-flight reach the sum of `N_i = T_QoS / (2*TP_i + TS_i)`. The reading
+//! order is the order of the sections below; `docs/design.md` gives the reasons.
+
+use std::collections::VecDeque;
+
+use oorandom::Rand64;
+use rustc_hash::FxHashMap;
+
+use crate::types::*;
+
+// ---------------------------------------------------------------- tunables
+
+/// Housekeeping period as a share of the shortest aim: fine enough that a held request
+/// is refused close to its limit, coarse enough to cost nothing.
+const SWEEP_OF_AIM: f64 = 1.0 / 32.0;
+/// Weight of a new round trip in TS (per answer): about the last eight answers count.
+const TS_GAIN: f64 = 0.125;
+/// Weight of a new answer in the fleet's mean of its class.
+const MEAN_GAIN: f64 = 0.02;
+/// An attempt that failed counts as this many mean service times at least.
+const FAULT_SLOWNESS: f64 = 5.0;
+/// One answer counts as this many mean service times at most: a heavy request must not
+/// condemn the upstream that drew it.
+const SLOWNESS_MAX: f64 = 10.0;
+/// A timed-out attempt keeps its slot for this many times its time-out: the upstream may
+/// still be at work on it, and a slot freed at once piles unseen work on it.
+const GHOST_OF_TIMEOUT: f64 = 1.0;
+/// An upstream that turned a request away gets nothing for this share of the mean service time;
+/// one that can't be reached, twice as long each time in a row.
+const PAUSE_OF_TS: f64 = 0.5;
+/// Most doublings of the pause: some thirty service times between trials of a dead upstream.
+const PAUSE_DOUBLINGS: u32 = 6;
+/// Share of the aim that queue and service may take for a request to be admitted: the rest
+/// is for the spread of service times.
+const HOLD_OF_AIM: f64 = 0.7;
+/// A held request with less time left than this many mean latencies of its class is given up.
+/// Failure: repeats came with what was left of their first try's time, waited, and were sent too
+/// late to be answered; a sixth of all attempts timed out, evenly over the upstreams.
+const LEAST_LEFT: f64 = 1.0;
+/// Part of the bearable wait that the class of least worth for its work may use.
+const LEAST_PART: f64 = 0.2;
+/// A request with less than this share of the usual wait left is a repeat that its client's end
+/// cuts short: the rest is for what the way to the proxy took.
+const FULL_WAIT: f64 = 0.9;
+/// A request moves the usual wait of its class by this share of the class's deadline.
+const FULL_WAIT_STEP: f64 = 0.002;
+/// Requests inside its quota that a tenant may save up, as this many times T_QoS of its rate.
+const QUOTA_BURST_OF_QOS: f64 = 4.0;
+/// An upstream this many times slower than the mean is a suspect.
+const SUSPECT: f64 = 2.0;
+/// An upstream across zones costs so many times one nearby where crossing has a price. Failure:
+/// with near ones always first, a zone with more clients than upstreams was overrun, others idle.
+const FAR_COST: f64 = 100.0;
+/// Fewest lanes of an upstream, over all proxies. Failure: when all is slow at once, latency is
+/// over its target even unloaded, and lanes that fall further leave upstreams idle.
+const LEAST_LANES: f64 = 3.0;
+/// Weight of a new answer in a class's pressure: about the last dozen answers count.
+const PRESSURE_GAIN: f64 = 0.08;
+/// Share of its aim that a class may take on average before lanes are given up:
+/// the rest leaves room for the spread of service times around their mean.
+const PRESSURE_TARGET: f64 = 0.5;
+/// A class that takes long even alone may take up to this share of its aim.
+const PRESSURE_MOST: f64 = 0.7;
+/// So many times its unloaded latency is no sign yet that a class waits for others.
+const UNCONTENDED: f64 = 1.5;
+/// Weight of a new answer by which the unloaded latency rises again: what was once quick and is
+/// not any more counts for about a thousand answers.
+const UNLOADED_GAIN: f64 = 0.001;
+/// Lanes won per answer at no pressure by a proxy that holds what it started with: about a tenth
+/// of these per round trip, whatever it holds.
+const LANE_STEP: f64 = 0.1;
+/// Lanes are given up so many times faster than won: late answers are worth less than held ones.
+const LANE_FALL: f64 = 2.0;
+/// Lanes of an upstream, over all proxies, before any answer.
+const START_LANES: f64 = 4.0;
+/// Share of the lanes that must be in use before more are won.
+const LANES_USED: f64 = 0.7;
+/// TS of an upstream before any answer from any upstream, as a share of T_QoS.
+const TS_PRIOR_OF_QOS: f64 = 0.25;
+/// Time constant of the rate of answers that paces young upstreams, in multiples of `tip_after`.
+const RATE_WINDOW_OF_TIP: f64 = 1.0;
+/// Longest first wait before the list is asked, as a share of `ask_every`: a bank that
+/// restarts together must not swamp the list service.
+const ASK_JITTER_OF_EVERY: f64 = 0.05;
+/// A list call unanswered for this share of `ask_every` is made again.
+const ASK_AGAIN_OF_EVERY: f64 = 0.5;
+
+// ---------------------------------------------------------------- settings
+
+impl Settings {
+    fn checked(mut self) -> Result<Self, SettingsError> {
+        if self.classes.is_empty() {
+            return Err(SettingsError::NoClasses);
+        }
+        if let Some(i) = self.classes.iter().position(|c| c.aim.0 <= 0 || c.deadline.0 <= 0) {
+            return Err(SettingsError::BadAim(i));
+        }
+        // Safe defaults: a zero tick or cold share would stop a clock or a cold server for ever.
+        self.tick.0 = self.tick.0.max(100);
+        self.balancers = self.balancers.max(1);
+        self.limits.max_attempts = self.limits.max_attempts.max(1);
+        self.rules.cold_from = self.rules.cold_from.clamp(0.01, 1.0);
+        self.rules.ask_every.0 = self.rules.ask_every.0.max(self.tick.0 * 10);
+        Ok(self)
+    }
+
+    /// T_QoS: one target for all, the mean of the class aims.
+    fn t_qos(&self) -> f64 {
+        self.classes.iter().map(|c| c.aim.f()).sum::<f64>() / self.classes.len() as f64
+    }
+
+    fn sweep_every(&self) -> Span {
+        let aim = self.classes.iter().map(|c| c.aim.0).min().unwrap_or(0);
+        Span(((aim as f64 * SWEEP_OF_AIM) as i64).max(self.tick.0))
+    }
+}
+
+// ---------------------------------------------------------------- state
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Out,
+    NeverRan,
+    MayHaveRun,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    server: usize,
+    sent: Time,
+    fate: Fate,
+}
+
+#[derive(Debug)]
+struct Entry {
+    class: usize,
+    key: Option<u64>,
+    drop_dead: Time,
+    /// When an answer stops being worth anything.
+    worth_until: Time,
+    /// When a held request must be given up.
+    hold_until: Time,
+    held: bool,
+    ended: bool,
+    attempts: Vec<Attempt>,
+}
+
+impl Entry {
+    fn out(&self) -> bool {
+        self.attempts.iter().any(|a| a.fate == Fate::Out)
+    }
+    fn all_never_ran(&self) -> bool {
+        self.attempts.iter().all(|a| a.fate == Fate::NeverRan)
+    }
+}
+
+#[derive(Debug)]
+struct Server {
+    id: ServerId,
+    zone: u32,
+    kind: u32,
+    cell: u32,
+    status: Status,
+    weight: f64,
+    started: Option<Time>,
+    identity: u64,
+    in_flight: u32,
+    paused_until: Time,
+    /// Connections failed in a row, pauses apart.
+    setbacks: u32,
+    est: Estimate,
+    /// Sends a young upstream may still get.
+    tokens: Tokens,
+}
+
+impl Server {
+    fn pause(&mut self, now: Time, ts: f64) {
+        self.paused_until = now.plus(Span::of(ts * PAUSE_OF_TS));
+    }
+
+    /// Failure: the upstreams of a lost zone, long still on the list, were tried again every few
+    /// milliseconds by every proxy, and most attempts of the bank ended there.
+    fn unreachable(&mut self, now: Time, ts: f64) {
+        if now < self.paused_until {
+            return; // Sent before the pause began: the same trouble, already counted.
+        }
+        self.pause(now, ts * f64::from(1 << self.setbacks));
+        self.setbacks = (self.setbacks + 1).min(PAUSE_DOUBLINGS);
+    }
+}
+
+/// Sends or requests saved up at a steady rate, and when that was last reckoned.
+#[derive(Clone, Copy, Debug)]
+struct Tokens {
+    left: f64,
+    at: Time,
+}
+
+impl Tokens {
+    /// What is there by now, at most `most`.
+    fn by(&self, now: Time, rate: f64, most: f64) -> f64 {
+        (self.left + now.since(self.at).f().max(0.0) * rate).min(most)
+    }
+}
+
+/// The bank's share of one proxy: all its decisions.
+#[derive(Debug)]
+pub struct Balancer {
+    settings: Settings,
+    t_qos: f64,
+    rng: Rand64,
+    servers: Vec<Server>,
+    by_id: FxHashMap<ServerId, usize>,
+    requests: FxHashMap<RequestId, Entry>,
+    queue: VecDeque<RequestId>,
+    in_flight: usize,
+    /// Timed-out attempts that may still run: when their slot is free, and where.
+    ghosts: Vec<(Time, usize)>,
+    queued: usize,
+    fleet: Fleet,
+    ask: Asking,
+    /// Requests each tenant has left inside its quota.
+    quota: Vec<Tokens>,
+    /// The usual wait that a request of each class comes with.
+    full_wait: Vec<Span>,
+}
+
+// ---------------------------------------------------------------- estimator: TP, TS -> K, N
+
+/// What the answers of one upstream told: the round trip is split into 2*TP + TS.
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    /// Twice the propagation time: the least round trip of an answer that did no work.
+    tp2: Option<f64>,
+    /// Slowness: service time, waiting at the upstream included, over the fleet's mean for
+    /// the same class. TS_i is this times the fleet's mean, whatever mix of classes it drew.
+    slow: f64,
+}
+
+impl Estimate {
+    /// Before any answer: as fast as the fleet's mean.
+    const NONE: Self = Self { tp2: None, slow: 1.0 };
+
+    /// Takes in an answer of this latency, where the fleet's mean for its class is `mean`.
+    fn learn(&mut self, outcome: Outcome, latency: f64, mean: f64) {
+        if outcome == Outcome::Full {
+            self.tp2 = Some(self.tp2.map_or(latency, |t| t.min(latency)));
+        }
+        let service = (latency - self.tp2.unwrap_or(0.0)).max(1.0) / mean;
+        let service = match outcome {
+            Outcome::Ok => service,
+            // A quick error must not look like a fast upstream (it would earn slots).
+            Outcome::Error | Outcome::Timeout | Outcome::Reset => service.max(FAULT_SLOWNESS),
+            _ => return,
+        };
+        self.slow += (service.min(SLOWNESS_MAX) - self.slow) * TS_GAIN;
+    }
+}
+
+/// The least mean latency that a class has shown: what it takes when it waits for no other.
+#[derive(Clone, Copy, Debug, Default)]
+struct Unloaded {
+    /// Zero until enough answers make a mean.
+    latency: f64,
+    answers: f64,
+}
+
+impl Unloaded {
+    fn learn(&mut self, mean: f64) {
+        self.answers += 1.0;
+        if self.latency > 0.0 {
+            self.latency = (self.latency + (mean - self.latency) * UNLOADED_GAIN).min(mean);
+        } else if self.answers * MEAN_GAIN >= 1.0 {
+            self.latency = mean;
+        }
+    }
+}
+
+/// Mean slowness that the upstreams of one kind showed, over all requests and by class.
+#[derive(Debug)]
+struct Kind {
+    all: f64,
+    class: Vec<f64>,
+}
+
+/// What the fleet as a whole sustains for this proxy.
+#[derive(Debug)]
+struct Fleet {
+    ts: f64,
+    /// Mean latency of each class, and latency over aim.
+    mean: Vec<f64>,
+    unloaded: Vec<Unloaded>,
+    pressure: Vec<f64>,
+    kinds: Vec<Kind>,
+    /// The longest wait that each class can bear, and the part of it that a class may use.
+    bearable: f64,
+    part: Vec<f64>,
+    /// Requests that all upstreams together serve at once for this proxy: the sum of their
+    /// lanes L_i. The paper's upstreams run one at a time and have a lane each; many proxies
+    /// that share many-core upstreams have any number, also less than one each.
+    lanes: f64,
+    tp2: f64,
+    /// Sum of L_i / (2*TP_i + TS_i), and of weight / TS_i, over live upstreams.
+    n_per_time: f64,
+    speed_sum: f64,
+    live: f64,
+    /// Mean slowness.
+    slow: f64,
+    /// Answers of warm upstreams, a decaying count by kind; and the highest rate of them per unit
+    /// of weight that was seen lately, by kind and over all.
+    warm_served: Vec<f64>,
+    warm_rate: Vec<f64>,
+    any_rate: f64,
+    counted: Time,
+}
+
+impl Balancer {
+    fn ts(&self, s: &Server) -> f64 {
+        self.fleet.ts * s.est.slow
+    }
+
+    fn tp2(&self, s: &Server) -> f64 {
+        s.est.tp2.unwrap_or(self.fleet.tp2)
+    }
+
+    /// L_i: the upstream's part of the lanes, by its speed.
+    fn lane_share(&self, s: &Server) -> f64 {
+        self.fleet.lanes * s.weight / self.ts(s) / self.fleet.speed_sum.max(1e-12)
+    }
+
+    /// K_i in whole requests; below one it still is one, or the upstream would never update.
+    fn k(&self, s: &Server) -> u32 {
+        let k = self.tp2(s) / self.ts(s) + self.lane_share(s);
+        (k.ceil() as u32).max(1)
+    }
+
+    /// The sum of N_i = L_i * T / (2*TP_i + TS_i) within the time `t`.
+    fn n_sum(&self, t: f64) -> f64 {
+        self.fleet.n_per_time * t
+    }
+
+    /// This proxy's part of so many lanes for each live upstream over the whole bank.
+    fn own_part(&self, lanes: f64) -> f64 {
+        self.fleet.live * lanes / f64::from(self.settings.balancers)
+    }
+
+    /// N_i per unit of time: L_i / (2*TP_i + TS_i).
+    fn n_rate(&self, s: &Server) -> f64 {
+        self.lane_share(s) / (self.tp2(s) + self.ts(s))
+    }
+
+    fn learn_means(&mut self, class: usize, latency: f64) {
+        self.fleet.ts += (latency - self.fleet.ts) * MEAN_GAIN;
+        let mean = &mut self.fleet.mean[class];
+        *mean += (latency - *mean) * if *mean == 0.0 { 1.0 } else { MEAN_GAIN };
+        self.fleet.unloaded[class].learn(*mean);
+    }
+
+    /// How much slower than at other work the upstreams of this kind are at this class. Failure: of
+    /// two classes each quick on another kind, either was sent where the other was quick.
+    fn fit(&self, class: usize, kind: u32) -> f64 {
+        self.fleet.kinds.get(kind as usize).map_or(1.0, |k| k.class[class] / k.all)
+    }
+
+    fn learn_fit(&mut self, class: usize, kind: u32, latency: f64) {
+        let (f, classes) = (&mut self.fleet, self.settings.classes.len());
+        let slow = (latency / f.mean[class]).min(SLOWNESS_MAX);
+        let fresh = || Kind { all: 1.0, class: vec![1.0; classes] };
+        f.kinds.resize_with(f.kinds.len().max(kind as usize + 1), fresh);
+        let k = &mut f.kinds[kind as usize];
+        k.all += (slow - k.all) * MEAN_GAIN;
+        k.class[class] += (slow - k.class[class]) * MEAN_GAIN;
+    }
+
+    /// Moves the lanes by one answer: up while its class has room, down once it has not.
+    fn press(&mut self, class: usize, latency: f64) {
+        let aim = self.settings.classes[class].aim.f();
+        let (least, fair) = (self.own_part(LEAST_LANES), self.own_part(START_LANES));
+        let f = &mut self.fleet;
+        let p = &mut f.pressure[class];
+        *p += ((latency / aim).min(2.0) - *p) * PRESSURE_GAIN;
+        // Only the class that answers has a say: one that is refused whole would never update.
+        // Failure: work that takes half its aim even alone kept the lanes at their floor, and half of
+        // it was refused beside idle cores.
+        let alone = f.unloaded[class].latency * UNCONTENDED / aim;
+        let room = (1.0 - *p / alone.clamp(PRESSURE_TARGET, PRESSURE_MOST)).clamp(-1.0, 1.0);
+        let used = (self.in_flight + self.queued) as f64 >= LANES_USED * f.lanes;
+        if room < 0.0 {
+            f.lanes += LANE_STEP * LANE_FALL * room;
+        } else if used {
+            // The more lanes, the slower they grow. Failure: grown and given up alike in proportion,
+            // they stayed with whoever had them: of three proxies one refused at its floor of 11
+            // lanes, beside one with 90 half unused.
+            f.lanes += LANE_STEP * room * fair.max(1.0) / f.lanes;
+        }
+        f.lanes = f.lanes.max(least.max(1.0));
+    }
+
+    /// Requests out at an upstream, its K_i, and its N_i within the time `t`; for gauges.
+    pub fn upstream(&self, id: ServerId, t: Span) -> Option<(u32, u32, f64)> {
+        let s = &self.servers[*self.by_id.get(&id)?];
+        Some((s.in_flight, self.k(s), self.n_rate(s) * t.f()))
+    }
+
+    /// Brings up to date what is reckoned over all upstreams.
+    fn refresh(&mut self, now: Time) {
+        self.refresh_warm(now);
+        self.refresh_fleet();
+    }
+
+    fn refresh_fleet(&mut self) {
+        let (mut tp2, mut seen) = (0.0, 0.0);
+        for t in self.servers.iter().filter_map(|s| s.est.tp2) {
+            tp2 += t;
+            seen += 1.0;
+        }
+        if seen > 0.0 {
+            self.fleet.tp2 = tp2 / seen;
+        }
+        let live = || self.servers.iter().filter(|s| s.status == Status::Live);
+        let now_live = live().count() as f64;
+        if self.fleet.live > 0.0 && now_live > 0.0 {
+            // Failure: a fleet that doubled kept its old lanes, and refused beside idle upstreams.
+            self.fleet.lanes *= now_live / self.fleet.live;
+        }
+        self.fleet.live = now_live;
+        if self.fleet.lanes == 0.0 {
+            self.fleet.lanes = self.own_part(START_LANES).max(self.fleet.live.min(1.0));
+        }
+        let slow: f64 = live().map(|s| s.est.slow).sum();
+        self.fleet.slow = slow / self.fleet.live.max(1.0);
+        self.fleet.speed_sum = live().map(|s| s.weight / self.ts(s)).sum();
+        self.fleet.n_per_time = live().map(|s| self.n_rate(s)).sum();
+        self.refresh_admission();
+    }
+}
+
+// ---------------------------------------------------------------- admission
+
+impl Balancer {
+    /// A client request has arrived; it is sent, held or refused.
+    pub fn request(&mut self, now: Time, r: Request, out: &mut Vec<Action>) {
+        let Some(class) = self.settings.classes.get(r.class) else {
+            out.push(Action::Refuse { request: r.id, retry_after: Span(0) });
+            return;
+        };
+        if self.requests.contains_key(&r.id) {
+            return;
+        }
+        // A held request is worth holding only while its aim can be met, also where a late answer
+        // keeps some worth: else, in lasting overload, the whole queue is served late.
+        let aim_at = r.drop_dead.min(now.plus(class.aim));
+        let worth_until = if class.late_worth > 0.0 { r.drop_dead } else { aim_at };
+        // Two sweeps early at least: a refusal must come while it is still harmless.
+        let least = Span::of(self.fleet.mean[r.class] * LEAST_LEFT);
+        let hold_until = Time(aim_at.0 - least.0.max(2 * self.settings.sweep_every().0));
+        let entry = Entry {
+            class: r.class,
+            key: r.key,
+            drop_dead: r.drop_dead,
+            worth_until,
+            hold_until,
+            held: false,
+            ended: false,
+            attempts: Vec::new(),
+        };
+        self.requests.insert(r.id, entry);
+        let inside = self.inside_quota(now, r.tenant);
+        let late = self.late_for_sure(now, &r);
+        if !self.admits(r.class, inside && !late) || now >= hold_until {
+            self.refuse(r.id, out);
+            return;
+        }
+        if let Some(tokens) = self.quota.get_mut(r.tenant).filter(|_| inside) {
+            tokens.left -= 1.0;
+        }
+        self.hold(r.id, false);
+        self.dispatch(now, out);
+    }
+
+    /// Whether an answer would miss the aim that counts from the client's first try. A repeat is
+    /// told by less time left than a first try brings. Failure: in overload, repeats past their
+    /// aim took the slots, and most of what was served came late.
+    fn late_for_sure(&mut self, now: Time, r: &Request) -> bool {
+        let (class, left) = (&self.settings.classes[r.class], r.drop_dead.since(now));
+        let full = &mut self.full_wait[r.class];
+        // The median, as most come with the same wait. Failure: by the longest, last tries that wait
+        // to the very end made first tries look like repeats.
+        let step = (class.deadline.f() * FULL_WAIT_STEP).max(1.0) as i64;
+        full.0 = if full.0 == 0 { left.0 } else { full.0 + step * (left.0 - full.0).signum() };
+        let waited = class.deadline.f() - left.f();
+        left.f() < full.f() * FULL_WAIT && waited + self.fleet.mean[r.class] > class.aim.f()
+    }
+
+    /// Whether a tenant has asked this proxy for no more than its part of the quota, what was
+    /// refused apart.
+    fn inside_quota(&mut self, now: Time, tenant: usize) -> bool {
+        let Some(tokens) = self.quota.get_mut(tenant) else { return true };
+        let quota = self.settings.tenants[tenant].quota_rps / f64::from(self.settings.balancers);
+        let rate = quota / 1e6;
+        let most = (rate * self.t_qos * QUOTA_BURST_OF_QOS).max(1.0);
+        *tokens = Tokens { left: tokens.by(now, rate, most), at: now };
+        tokens.left >= 1.0
+    }
+
+    /// The paper's check: queued plus in-flight stay under the sum of N_i. T_QoS is one for
+    /// all, the wait that even the tightest class can bear, or long aims would fill the queue
+    /// and starve short ones; classes worth less for their work get a smaller part of it.
+    fn admits(&self, class: usize, in_full: bool) -> bool {
+        // Failure: a tenant past its quota, worth little there, took the slots of the others.
+        let part = self.fleet.part[class] * if in_full { 1.0 } else { LEAST_PART };
+        let n = self.n_sum(self.fleet.ts + self.fleet.bearable * part);
+        // With no list yet there is no N to sum: hold until an upstream shows or time is up.
+        n == 0.0 || ((self.queued + self.in_flight) as f64) < n.max(1.0)
+    }
+
+    fn refresh_admission(&mut self) {
+        let f = &mut self.fleet;
+        let classes = &self.settings.classes;
+        let bear = |(c, m): (&Class, &f64)| c.aim.f() * HOLD_OF_AIM - m;
+        f.bearable = classes.iter().zip(&f.mean).map(bear).fold(f64::MAX, f64::min).max(0.0);
+        let value = |c: usize, m: &[f64]| classes[c].worth / m[c].max(1.0);
+        for c in 0..classes.len() {
+            let mine = value(c, &f.mean);
+            let below = (0..classes.len()).filter(|&o| value(o, &f.mean) < mine).count();
+            let rank =
+                if classes.len() == 1 { 1.0 } else { below as f64 / (classes.len() - 1) as f64 };
+            f.part[c] = LEAST_PART + (1.0 - LEAST_PART) * rank;
+        }
+    }
+
+    fn refuse(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let request = id;
+        out.push(Action::Refuse { request, retry_after: Span(0) });
+        self.end(id);
+    }
+
+    fn end(&mut self, id: RequestId) {
+        let Some(e) = self.requests.get_mut(&id) else { return };
+        e.ended = true;
+        if std::mem::take(&mut e.held) {
+            self.queued -= 1;
+        }
+        if !e.out() {
+            self.requests.remove(&id);
+        }
+    }
+}
+
+// ---------------------------------------------------------------- queue and dispatch
+
+impl Balancer {
+    fn hold(&mut self, id: RequestId, at_head: bool) {
+        let Some(e) = self.requests.get_mut(&id) else { return };
+        e.held = true;
+        self.queued += 1;
+        if at_head {
+            self.queue.push_front(id);
+        } else {
+            self.queue.push_back(id);
+        }
+    }
+
+    /// First come, first served, while some upstream has a free slot.
+    fn dispatch(&mut self, now: Time, out: &mut Vec<Action>) {
+        let mut i = 0;
+        while let Some(&id) = self.queue.get(i) {
+            if self.in_flight as f64 >= self.fleet.lanes.max(1.0) {
+                break;
+            }
+            let Some(e) = self.requests.get(&id).filter(|e| e.held) else {
+                self.queue.remove(i);
+                continue;
+            };
+            let fresh = e.attempts.is_empty();
+            match self.pick(now, id) {
+                Some(server) => {
+                    self.queue.remove(i);
+                    self.send(now, id, server, out);
+                }
+                // Nothing is free. A repeat may merely be bound to other upstreams: look behind it.
+                None if fresh => break,
+                None => i += 1,
+            }
+        }
+    }
+
+    /// Among the upstreams with a free slot, the one that would answer soonest; equals by lot.
+    fn pick(&mut self, now: Time, id: RequestId) -> Option<usize> {
+        let mut best = None;
+        let e = self.requests.get(&id)?;
+        let key = e.key.filter(|_| self.settings.warm_keys);
+        for i in 0..self.servers.len() {
+            if !self.has_slot(now, i) || !self.may_send(now, e, i) {
+                continue;
+            }
+            // An upstream that already failed this request comes last.
+            let again = e.attempts.iter().any(|a| a.server == i);
+            let s = &self.servers[i];
+            let far = self.settings.cross_zone_price > 0.0 && s.zone != self.settings.zone;
+            // Weighted rendezvous hashing: the key (or chance) draws each upstream's lot, its
+            // slowness and what it holds raise the cost. All balancers that see the same speeds
+            // send a key to the same upstream, and a hot one gives way as its upstream slows.
+            let lot = match key {
+                Some(key) => key_lot(key, s.identity),
+                None => self.rng.rand_float(),
+            };
+            let slow = s.est.slow * self.fit(e.class, s.kind) / s.weight;
+            let distance = if far { FAR_COST } else { 1.0 };
+            let cost = -lot.max(1e-12).ln() * slow * slow * f64::from(s.in_flight + 1) * distance;
+            let rank = (again, cost);
+            if best.is_none_or(|(_, r)| rank < r) {
+                best = Some((i, rank));
+            }
+        }
+        best.map(|(i, _)| i)
+    }
+
+    fn has_slot(&self, now: Time, i: usize) -> bool {
+        let s = &self.servers[i];
+        s.status == Status::Live
+            && s.in_flight < self.k(s)
+            && now >= s.paused_until
+            && self.cold_allows(now, s)
+    }
+
+    fn send(&mut self, now: Time, id: RequestId, server: usize, out: &mut Vec<Action>) {
+        self.count_send(now, server);
+        let Some(e) = self.requests.get_mut(&id) else { return };
+        e.held = false;
+        self.queued -= 1;
+        e.attempts.push(Attempt { server, sent: now, fate: Fate::Out });
+        self.in_flight += 1;
+        let s = &mut self.servers[server];
+        s.in_flight += 1;
+        let timeout = e.worth_until.since(now);
+        out.push(Action::Send { request: id, server: s.id, timeout });
+    }
+}
+
+/// A number in [0, 1) that a key and an upstream have in common at every balancer.
+fn key_lot(key: u64, identity: u64) -> f64 {
+    let mut x = (key ^ identity.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    x ^= x >> 32;
+    (x >> 11) as f64 / (1u64 << 53) as f64
+}
+
+// ---------------------------------------------------------------- attempts and retries
+
+impl Balancer {
+    /// The one place that says whether a request may be sent (again), to this upstream.
+    fn may_send(&self, now: Time, e: &Entry, server: usize) -> bool {
+        let limits = &self.settings.limits;
+        if e.ended || now >= e.drop_dead || e.attempts.len() >= limits.max_attempts {
+            return false;
+        }
+        if e.out() && !limits.second_copies {
+            return false;
+        }
+        let class = &self.settings.classes[e.class];
+        match class.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => e.all_never_ran(),
+            Effect::Keyed => e.attempts.iter().filter(|a| a.fate != Fate::NeverRan).all(|a| {
+                now.since(a.sent) < class.window && self.same_group(class.group, a.server, server)
+            }),
+        }
+    }
+
+    fn same_group(&self, group: Group, a: usize, b: usize) -> bool {
+        let (a, b) = (&self.servers[a], &self.servers[b]);
+        match group {
+            Group::All => true,
+            Group::Zone => a.zone == b.zone,
+            Group::Cell => a.zone == b.zone && a.cell == b.cell,
+        }
+    }
+
+    /// The one place that says whether a request may be refused.
+    fn may_refuse(&self, e: &Entry) -> bool {
+        let class = &self.settings.classes[e.class];
+        match class.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => e.all_never_ran(),
+            Effect::Keyed => class.group == Group::All || e.all_never_ran(),
+        }
+    }
+
+    /// An attempt has ended.
+    pub fn outcome(&mut self, now: Time, a: Answer, out: &mut Vec<Action>) {
+        let Some(e) = self.requests.get_mut(&a.request) else { return };
+        let Some(attempt) = e.attempts.get_mut(a.attempt).filter(|t| t.fate == Fate::Out) else {
+            return;
+        };
+        attempt.fate = if a.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
+        let server = attempt.server;
+        let class = e.class;
+        self.learn(now, class, server, &a);
+        if a.last || a.outcome == Outcome::Ok {
+            self.end(a.request);
+        } else {
+            self.settle(now, a.request, out);
+        }
+        self.dispatch(now, out);
+    }
+
+    fn learn(&mut self, now: Time, class: usize, server: usize, a: &Answer) {
+        let latency = a.latency.f();
+        // Failure: once all is overfull nothing answers, and lanes that only answers move stay.
+        // A time-out counts too, unless its upstream stands out: one that hangs tells of itself.
+        let usual = self.servers[server].est.slow <= self.fleet.slow * SUSPECT;
+        if a.outcome == Outcome::Timeout && usual {
+            self.press(class, latency);
+        }
+        if a.outcome == Outcome::Ok {
+            self.learn_means(class, latency);
+            self.learn_fit(class, self.servers[server].kind, latency);
+            self.press(class, latency);
+            self.count_served(now, server);
+        }
+        let mean = self.fleet.mean[class];
+        let mean = if mean > 0.0 { mean } else { self.fleet.ts };
+        let mean = mean * self.fit(class, self.servers[server].kind);
+        let s = &mut self.servers[server];
+        s.est.learn(a.outcome, latency, mean);
+        match a.outcome {
+            Outcome::Full => s.pause(now, self.fleet.ts),
+            Outcome::ConnectFailed => s.unreachable(now, self.fleet.ts),
+            Outcome::Ok => s.setbacks = 0,
+            _ => {}
+        }
+        if a.outcome == Outcome::Timeout {
+            let until = now.plus(Span::of(latency * GHOST_OF_TIMEOUT));
+            self.ghosts.push((until, server));
+        } else {
+            self.in_flight -= 1;
+            s.in_flight -= 1;
+        }
+    }
+
+    /// Frees the slots of timed-out attempts that the upstream has had time to finish.
+    fn lay_ghosts(&mut self, now: Time) {
+        let (servers, in_flight) = (&mut self.servers, &mut self.in_flight);
+        self.ghosts.retain(|&(until, server)| {
+            if until > now {
+                return true;
+            }
+            servers[server].in_flight -= 1;
+            *in_flight -= 1;
+            false
+        });
+    }
+
+    /// After an attempt that did not serve: again, or an end.
+    fn settle(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        let Some(e) = self.requests.get(&id) else { return };
+        if e.ended {
+            return self.end(id);
+        }
+        if e.held || e.out() {
+            return;
+        }
+        let live = |i: &usize| self.servers[*i].status == Status::Live;
+        let again = (0..self.servers.len()).filter(live).any(|i| self.may_send(now, e, i));
+        if again && now < e.hold_until {
+            self.hold(id, true);
+        } else {
+            self.give_up(id, out);
+        }
+    }
+
+    fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(e) = self.requests.get(&id) else { return };
+        if self.may_refuse(e) {
+            self.refuse(id, out);
+        } else {
+            out.push(Action::Fail { request: id });
+            self.end(id);
+        }
+    }
+
+    /// The client no longer waits; nothing is owed.
+    pub fn client_gone(&mut self, _now: Time, id: RequestId, _out: &mut Vec<Action>) {
+        self.end(id);
+    }
+
+    /// The answer has begun to stream: the attempt belongs to the client now.
+    pub fn stream_started(&mut self, _now: Time, id: RequestId, _out: &mut Vec<Action>) {
+        self.end(id);
+    }
+
+    /// Refuses what was held too long.
+    fn expire(&mut self, now: Time, out: &mut Vec<Action>) {
+        let mut late = Vec::new();
+        for id in &self.queue {
+            if self.requests.get(id).is_some_and(|e| e.held && now >= e.hold_until) {
+                late.push(*id);
+            }
+        }
+        for id in late {
+            self.give_up(id, out);
+        }
+    }
+}
+
+// ---------------------------------------------------------------- cold ramp
+
+impl Balancer {
+    /// Share of its capacity that a young upstream has for certain; `None` once warm.
+    fn cold_share(&self, now: Time, s: &Server) -> Option<f64> {
+        let age = now.since(s.started?);
+        let rules = &self.settings.rules;
+        if age >= rules.cold {
+            return None;
+        }
+        let grown = (age.f() / rules.cold.f()).max(0.0);
+        Some(rules.cold_from + (1.0 - rules.cold_from) * grown)
+    }
+
+    fn cold_allows(&self, now: Time, s: &Server) -> bool {
+        self.earned(now, s).is_none_or(|tokens| tokens >= 1.0)
+    }
+
+    /// Sends that a young upstream has earned by now, one at most; `None` once warm.
+    fn earned(&self, now: Time, s: &Server) -> Option<f64> {
+        let share = self.cold_share(now, s)?;
+        Some(s.tokens.by(now, self.warm_rate(s) * share, 1.0))
+    }
+
+    fn rate_window(&self) -> f64 {
+        (self.settings.rules.tip_after.f() * RATE_WINDOW_OF_TIP).max(1.0)
+    }
+
+    /// Answers per microsecond that one warm upstream like `s` has been seen to give.
+    fn warm_rate(&self, s: &Server) -> f64 {
+        let f = &self.fleet;
+        let like = f.warm_rate.get(s.kind as usize).copied().unwrap_or(0.0);
+        let rate = if like > 0.0 { like } else { f.any_rate };
+        if rate > 0.0 {
+            return rate * s.weight;
+        }
+        // Failure: with every upstream young, or nothing observed yet, none got any work.
+        START_LANES / f64::from(self.settings.balancers) / f.ts
+    }
+
+    fn count_send(&mut self, now: Time, server: usize) {
+        let Some(earned) = self.earned(now, &self.servers[server]) else { return };
+        self.servers[server].tokens = Tokens { left: earned - 1.0, at: now };
+    }
+
+    /// Counts what warm upstreams served, not what they were sent: in a storm of refusals the
+    /// sends of a bank add up to a multiple of what any upstream can do.
+    fn count_served(&mut self, now: Time, server: usize) {
+        let s = &self.servers[server];
+        if self.cold_share(now, s).is_some() {
+            return;
+        }
+        let kind = s.kind as usize;
+        if self.fleet.warm_served.len() <= kind {
+            self.fleet.warm_served.resize(kind + 1, 0.0);
+        }
+        self.fleet.warm_served[kind] += 1.0;
+    }
+
+    /// Weight of the warm upstreams of each kind.
+    fn warm_weight(&self, now: Time) -> Vec<f64> {
+        let mut weight = vec![0.0; self.fleet.warm_served.len()];
+        for s in self.servers.iter().filter(|s| s.status == Status::Live) {
+            if let Some(w) = weight.get_mut(s.kind as usize) {
+                *w += if self.cold_share(now, s).is_none() { s.weight } else { 0.0 };
+            }
+        }
+        weight
+    }
+
+    /// After a list that changed the warm weight from `before`: what was counted or seen of many
+    /// warm upstreams does not tell of few, nor that of few of many. Failure: a proxy with a stale
+    /// list of ten brought their rate to the two hundred it then heard of, and sent each young
+    /// one as much as the rest of the bank together.
+    fn relist_warm(&mut self, now: Time, before: &[f64]) {
+        let after = self.warm_weight(now);
+        let grown = |before: f64, after: f64| if before > 0.0 { after / before } else { 1.0 };
+        let f = &mut self.fleet;
+        f.any_rate /= grown(before.iter().sum(), after.iter().sum()).max(1.0);
+        for k in 0..before.len().min(f.warm_rate.len()) {
+            let grown = grown(before[k], after[k]);
+            f.warm_served[k] *= grown.min(1.0);
+            f.warm_rate[k] /= grown.max(1.0);
+        }
+    }
+
+    fn refresh_warm(&mut self, now: Time) {
+        let elapsed = now.since(self.fleet.counted).f();
+        self.fleet.counted = now;
+        for i in 0..self.servers.len() {
+            let s = &self.servers[i];
+            // Only by rates that stand. Failure: earned by sums still half made, the first
+            // upstreams of the list had the whole fleet's rate, and fell over.
+            if let Some(earned) = self.earned(now, s).filter(|_| s.status == Status::Live) {
+                self.servers[i].tokens = Tokens { left: earned, at: now };
+            }
+        }
+        let weight = self.warm_weight(now);
+        let window = self.rate_window();
+        let cold = self.settings.rules.cold.f().max(1.0);
+        let f = &mut self.fleet;
+        f.warm_served.iter_mut().for_each(|w| *w *= (-elapsed / window).exp());
+        f.warm_rate.resize(weight.len(), 0.0);
+        // Failure: when the warm ones slowed, the young, who did not, were held back with them.
+        let keep = |peak: &mut f64, served: f64, weight: f64| {
+            let seen = if weight > 0.0 && served >= 1.0 { served / window / weight } else { 0.0 };
+            *peak = (*peak * (-elapsed / cold).exp()).max(seen);
+        };
+        keep(&mut f.any_rate, f.warm_served.iter().sum(), weight.iter().sum());
+        for ((peak, served), weight) in f.warm_rate.iter_mut().zip(&f.warm_served).zip(weight) {
+            keep(peak, *served, weight);
+        }
+    }
+}
+
+// ---------------------------------------------------------------- membership and time
+
+/// Where the list must be asked: when to ask next.
+#[derive(Debug)]
+struct Asking {
+    subscribed: bool,
+    next: Time,
+    failures: i32,
+}
+
+const SWEEP: u64 = 1;
+
+impl Balancer {
+    /// A balancer that knows its settings and nothing else yet.
+    pub fn new(settings: Settings, seed: u64, now: Time) -> Result<Self, SettingsError> {
+        let settings = settings.checked()?;
+        let t_qos = settings.t_qos();
+        Ok(Self {
+            t_qos,
+            rng: Rand64::new(u128::from(seed)),
+            servers: Vec::new(),
+            by_id: FxHashMap::default(),
+            requests: FxHashMap::default(),
+            queue: VecDeque::new(),
+            in_flight: 0,
+            ghosts: Vec::new(),
+            queued: 0,
+            fleet: Fleet {
+                ts: t_qos * TS_PRIOR_OF_QOS,
+                mean: vec![0.0; settings.classes.len()],
+                unloaded: vec![Unloaded::default(); settings.classes.len()],
+                bearable: t_qos * TS_PRIOR_OF_QOS,
+                part: vec![1.0; settings.classes.len()],
+                pressure: vec![0.0; settings.classes.len()],
+                kinds: Vec::new(),
+                lanes: 0.0,
+                tp2: 0.0,
+                n_per_time: 0.0,
+                speed_sum: 0.0,
+                live: 0.0,
+                slow: 1.0,
+                warm_served: Vec::new(),
+                warm_rate: Vec::new(),
+                any_rate: 0.0,
+                counted: now,
+            },
+            ask: Asking { subscribed: false, next: now, failures: 0 },
+            quota: vec![Tokens { left: 1.0, at: now }; settings.tenants.len()],
+            full_wait: vec![Span(0); settings.classes.len()],
+            settings,
+        })
+    }
+
+    /// Begins to keep time and to ask for the list. Call once, right after [`Balancer::new`].
+    pub fn start(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.ask.next = now.plus(self.jitter(ASK_JITTER_OF_EVERY));
+        self.arm(now, out);
+    }
+
+    fn jitter(&mut self, of_every: f64) -> Span {
+        Span::of(self.rng.rand_float() * of_every * self.settings.rules.ask_every.f())
+    }
+
+    fn arm(&mut self, now: Time, out: &mut Vec<Action>) {
+        out.push(Action::Arm { token: SWEEP, at: now.plus(self.settings.sweep_every()) });
+    }
+
+    /// A timer is due.
+    pub fn timer(&mut self, now: Time, token: u64, out: &mut Vec<Action>) {
+        if token != SWEEP {
+            return;
+        }
+        self.lay_ghosts(now);
+        self.refresh(now);
+        self.expire(now, out);
+        self.dispatch(now, out);
+        self.ask_for_list(now, out);
+        self.arm(now, out);
+    }
+
+    fn ask_for_list(&mut self, now: Time, out: &mut Vec<Action>) {
+        if !self.settings.must_ask || self.ask.subscribed || now < self.ask.next {
+            return;
+        }
+        out.push(Action::Subscribe);
+        let again = Span::of(self.settings.rules.ask_every.f() * ASK_AGAIN_OF_EVERY);
+        self.ask.next = now.plus(again).plus(self.jitter(ASK_JITTER_OF_EVERY));
+    }
+
+    /// The list of upstreams, or a change to it.
+    pub fn members(&mut self, now: Time, kind: ListKind, list: &[Member], out: &mut Vec<Action>) {
+        match kind {
+            ListKind::Unavailable => {
+                self.ask.subscribed = false;
+                self.ask.failures = (self.ask.failures + 1).min(3);
+                let wait = ASK_JITTER_OF_EVERY * f64::from(1 << self.ask.failures);
+                self.ask.next = now.plus(self.jitter(wait));
+                return;
+            }
+            ListKind::Restored => {}
+            ListKind::Update | ListKind::Whole => {
+                self.ask.subscribed = true;
+                self.ask.failures = 0;
+            }
+        }
+        let before = self.warm_weight(now);
+        if kind != ListKind::Update {
+            self.servers.iter_mut().for_each(|s| s.status = Status::Gone);
+        }
+        for m in list {
+            self.member(now, m);
+        }
+        self.relist_warm(now, &before);
+        self.refresh(now);
+        self.dispatch(now, out);
+    }
+
+    fn member(&mut self, now: Time, m: &Member) {
+        let fresh = self.servers.len();
+        let i = *self.by_id.entry(m.id).or_insert(fresh);
+        if i == fresh {
+            self.servers.push(Server {
+                id: m.id,
+                zone: m.zone,
+                kind: m.kind,
+                cell: m.cell,
+                status: m.status,
+                weight: 1.0,
+                started: None,
+                identity: m.identity,
+                in_flight: 0,
+                paused_until: now,
+                setbacks: 0,
+                est: Estimate::NONE,
+                tokens: Tokens { left: 0.0, at: now },
+            });
+        }
+        // Spread over the bank: a random part of the first send is already earned.
+        let head_start = self.rng.rand_float();
+        let s = &mut self.servers[i];
+        if s.started != m.started && m.started.is_some() {
+            s.tokens = Tokens { left: head_start, at: now };
+            s.est.slow = Estimate::NONE.slow;
+        }
+        (s.zone, s.kind, s.cell) = (m.zone, m.kind.min(255), m.cell);
+        (s.status, s.started) = (m.status, m.started);
+        s.weight = if m.weight > 0.0 && m.weight.is_finite() { m.weight } else { 1.0 };
+    }
+
+    /// A probe was answered.
+    pub fn probed(
+        &mut self,
+        _now: Time,
+        _server: ServerId,
+        _ok: bool,
+        _latency: Span,
+        _r: Report,
+        _out: &mut Vec<Action>,
+    ) {
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,280 @@
+//! Drives one balancer and holds it to the four rules on every action.
+#![allow(dead_code)] // each test file uses its own part
+
+use std::collections::BTreeMap;
+
+use petreltack::decide::Balancer;
+use petreltack::types::*;
+
+pub const MS: i64 = 1000;
+
+pub fn class(effect: Effect) -> Class {
+    Class {
+        aim: Span(200 * MS),
+        deadline: Span(600 * MS),
+        worth: 1.0,
+        late_worth: 0.0,
+        effect,
+        group: Group::Zone,
+        window: Span(300 * MS),
+    }
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        classes: vec![class(Effect::Safe), class(Effect::Keyed), class(Effect::Unsafe)],
+        tenants: vec![],
+        balancers: 1,
+        zone: 0,
+        tick: Span(MS),
+        must_ask: false,
+        limits: Limits {
+            max_attempts: 3,
+            second_copies: true,
+            cancel: true,
+            probes: false,
+            retry_after: true,
+            max_retry_after: Span(300 * MS),
+        },
+        rules: Rules {
+            cold_from: 0.2,
+            cold: Span(10_000 * MS),
+            fall_multiple: 3.0,
+            tip_after: Span(1000 * MS),
+            ask_every: Span(10_000 * MS),
+        },
+        cross_zone_price: 0.0,
+        warm_keys: false,
+    }
+}
+
+pub fn member(id: u32, zone: u32) -> Member {
+    Member {
+        id: ServerId(id),
+        identity: u64::from(id) * 7919,
+        zone,
+        kind: 0,
+        cell: id / 2,
+        status: Status::Live,
+        weight: 1.0,
+        started: None,
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Try {
+    pub server: ServerId,
+    pub sent: Time,
+    pub ended: Option<Outcome>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub class: usize,
+    pub drop_dead: Time,
+    pub tries: Vec<Try>,
+    pub over: bool,
+}
+
+pub struct World {
+    pub settings: Settings,
+    pub balancer: Balancer,
+    pub now: Time,
+    pub members: BTreeMap<u32, Member>,
+    pub asked: BTreeMap<u64, Asked>,
+    pub timers: Vec<(u64, Time)>,
+    pub log: Vec<Action>,
+    /// Tenant of the requests to come.
+    pub tenant: usize,
+    actions: Vec<Action>,
+}
+
+impl World {
+    pub fn new(settings: Settings) -> Self {
+        let now = Time(1_000_000 * MS);
+        let balancer = Balancer::new(settings.clone(), 7, now).expect("settings are sound");
+        let mut world = Self {
+            settings,
+            balancer,
+            now,
+            members: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            timers: vec![],
+            log: vec![],
+            tenant: 0,
+            actions: vec![],
+        };
+        world.balancer.start(now, &mut world.actions);
+        world.obey();
+        world
+    }
+
+    pub fn with_servers(settings: Settings, n: u32) -> Self {
+        let mut world = Self::new(settings);
+        let list: Vec<_> = (0..n).map(|i| member(i, i % 2)).collect();
+        world.list(ListKind::Restored, &list);
+        world
+    }
+
+    pub fn list(&mut self, kind: ListKind, list: &[Member]) {
+        if matches!(kind, ListKind::Whole | ListKind::Restored) {
+            self.members.values_mut().for_each(|m| m.status = Status::Gone);
+        }
+        if kind != ListKind::Unavailable {
+            self.members.extend(list.iter().map(|m| (m.id.0, *m)));
+        }
+        self.balancer.members(self.now, kind, list, &mut self.actions);
+        self.obey();
+    }
+
+    pub fn request(&mut self, id: u64, class: usize) {
+        let wait = self.settings.classes[class].deadline;
+        self.request_until(id, class, self.now.plus(wait));
+    }
+
+    pub fn request_until(&mut self, id: u64, class: usize, drop_dead: Time) {
+        let asked = Asked { class, drop_dead, tries: vec![], over: false };
+        assert!(self.asked.insert(id, asked).is_none(), "ids are not repeated");
+        let tenant = self.tenant;
+        let request = Request { id: RequestId(id), class, tenant, key: Some(id % 5), drop_dead };
+        self.balancer.request(self.now, request, &mut self.actions);
+        self.obey();
+    }
+
+    /// Ends an attempt that is out; does nothing if there is none such.
+    pub fn outcome(&mut self, id: u64, attempt: usize, outcome: Outcome) {
+        let Some(asked) = self.asked.get_mut(&id) else { return };
+        let Some(t) = asked.tries.get_mut(attempt).filter(|t| t.ended.is_none()) else { return };
+        t.ended = Some(outcome);
+        asked.over |= outcome == Outcome::Ok;
+        let answer = Answer {
+            request: RequestId(id),
+            attempt,
+            server: t.server,
+            outcome,
+            latency: self.now.since(t.sent),
+            last: asked.over,
+            report: Report::default(),
+        };
+        self.balancer.outcome(self.now, answer, &mut self.actions);
+        self.obey();
+    }
+
+    pub fn gone(&mut self, id: u64) {
+        if let Some(asked) = self.asked.get_mut(&id) {
+            asked.over = true;
+        }
+        self.balancer.client_gone(self.now, RequestId(id), &mut self.actions);
+        self.obey();
+    }
+
+    /// Lets time pass, firing timers; attempts end as time-outs at their request's end.
+    pub fn pass(&mut self, span: Span) {
+        let end = self.now.plus(span);
+        while let Some(i) = (0..self.timers.len()).min_by_key(|&i| self.timers[i].1) {
+            if self.timers[i].1 > end {
+                break;
+            }
+            let (token, at) = self.timers.swap_remove(i);
+            self.now = self.now.max(at);
+            self.time_out();
+            self.balancer.timer(self.now, token, &mut self.actions);
+            self.obey();
+        }
+        self.now = end;
+        self.time_out();
+    }
+
+    fn time_out(&mut self) {
+        let due = |a: &Asked| a.drop_dead <= self.now;
+        let late: Vec<u64> = self.asked.iter().filter(|(_, a)| due(a)).map(|(id, _)| *id).collect();
+        for id in late {
+            for attempt in 0..self.asked[&id].tries.len() {
+                self.outcome(id, attempt, Outcome::Timeout);
+            }
+        }
+    }
+
+    fn obey(&mut self) {
+        for action in std::mem::take(&mut self.actions) {
+            self.log.push(action);
+            match action {
+                Action::Send { request, server, timeout } => self.sent(request.0, server, timeout),
+                Action::Refuse { request, .. } => {
+                    let class = &self.settings.classes[self.asked[&request.0].class];
+                    let ran = self.asked[&request.0].tries.iter().any(may_have_run);
+                    let harmless = class.effect == Effect::Safe
+                        || (class.effect == Effect::Keyed && class.group == Group::All);
+                    assert!(harmless || !ran, "refused {request:?} that may have run");
+                    self.end(request.0);
+                }
+                Action::Fail { request } => self.end(request.0),
+                Action::Arm { token, at } => self.timers.push((token, at)),
+                Action::Cancel { request, attempt } => {
+                    assert!(attempt < self.asked[&request.0].tries.len(), "cancels what was sent");
+                }
+                Action::Probe { .. } | Action::Subscribe => {}
+            }
+        }
+    }
+
+    fn end(&mut self, id: u64) {
+        let asked = self.asked.get_mut(&id).expect("a known request");
+        assert!(!asked.over, "a second final answer for {id}");
+        asked.over = true;
+    }
+
+    fn sent(&mut self, id: u64, server: ServerId, timeout: Span) {
+        let asked = &self.asked[&id];
+        assert!(!asked.over, "sent {id} after its end");
+        assert!(self.now < asked.drop_dead && timeout.0 > 0);
+        assert!(self.now.plus(timeout) <= asked.drop_dead, "time-out past the client's");
+        assert_eq!(self.members[&server.0].status, Status::Live, "sent to a drained upstream");
+        assert!(asked.tries.len() < self.settings.limits.max_attempts);
+        if !self.settings.limits.second_copies {
+            assert!(asked.tries.iter().all(|t| t.ended.is_some()), "two copies out");
+        }
+        let class = &self.settings.classes[asked.class];
+        for before in asked.tries.iter().filter(|t| may_have_run(t)) {
+            let same = match class.group {
+                Group::All => true,
+                Group::Zone => self.zone(before.server) == self.zone(server),
+                Group::Cell => self.members[&before.server.0].cell == self.members[&server.0].cell,
+            };
+            let kept = self.now.since(before.sent) < class.window;
+            let allowed = match class.effect {
+                Effect::Safe => true,
+                Effect::Keyed => same && kept,
+                Effect::Unsafe => false,
+            };
+            assert!(allowed, "effect of {id} may happen twice");
+        }
+        let sent = Try { server, sent: self.now, ended: None };
+        self.asked.get_mut(&id).expect("known").tries.push(sent);
+    }
+
+    fn zone(&self, id: ServerId) -> u32 {
+        self.members[&id.0].zone
+    }
+
+    pub fn out(&self, id: u64) -> Option<ServerId> {
+        self.asked[&id].tries.iter().rev().find(|t| t.ended.is_none()).map(|t| t.server)
+    }
+
+    pub fn refused(&self, id: u64) -> bool {
+        self.log.iter().any(|a| matches!(a, Action::Refuse { request, .. } if request.0 == id))
+    }
+
+    pub fn failed(&self, id: u64) -> bool {
+        self.log.contains(&Action::Fail { request: RequestId(id) })
+    }
+
+    pub fn sends_to(&self, server: u32) -> usize {
+        let to = |a: &&Action| matches!(a, Action::Send { server: s, .. } if s.0 == server);
+        self.log.iter().filter(to).count()
+    }
+}
+
+fn may_have_run(t: &Try) -> bool {
+    !t.ended.is_some_and(Outcome::never_ran)
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,169 @@
+//! The four rules, over the table of effects and over random orders of events.
+
+mod common;
+
+use common::{MS, World, member, settings};
+use petreltack::types::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const SAFE: usize = 0;
+const KEYED: usize = 1;
+const UNSAFE: usize = 2;
+
+/// What becomes of a request whose first attempt ended this way: sent again, refused or failed.
+fn after(class: usize, outcome: Outcome) -> &'static str {
+    let mut w = World::with_servers(settings(), 4);
+    w.request(1, class);
+    w.pass(Span(5 * MS));
+    w.outcome(1, 0, outcome);
+    match (w.out(1).is_some(), w.refused(1), w.failed(1)) {
+        (true, false, false) => "again",
+        (false, true, false) => "refused",
+        (false, false, true) => "failed",
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn what_follows_an_outcome_depends_on_effect_and_outcome() {
+    let may_run = [Outcome::Error, Outcome::Reset, Outcome::Timeout, Outcome::Cancelled];
+    let never_ran = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot];
+    for o in never_ran.into_iter().chain(may_run) {
+        assert_eq!(after(SAFE, o), "again", "{o:?}");
+        assert_eq!(after(KEYED, o), "again", "{o:?}");
+    }
+    never_ran.iter().for_each(|o| assert_eq!(after(UNSAFE, *o), "again", "{o:?}"));
+    may_run.iter().for_each(|o| assert_eq!(after(UNSAFE, *o), "failed", "{o:?}"));
+}
+
+#[test]
+fn a_keyed_repeat_outside_its_group_is_failed_not_refused() {
+    let mut w = World::new(settings());
+    w.list(ListKind::Whole, &[member(0, 0), member(1, 1)]);
+    w.request(1, KEYED);
+    let first = w.out(1).unwrap();
+    let other = member(1 - first.0, 1 - first.0);
+    w.list(ListKind::Whole, &[other]);
+    w.outcome(1, 0, Outcome::Error);
+    assert!(w.failed(1), "no live upstream would drop the repeat");
+}
+
+#[test]
+fn a_time_out_at_the_deadline_is_answered_at_once() {
+    let mut w = World::with_servers(settings(), 2);
+    w.request(1, UNSAFE);
+    w.request(2, SAFE);
+    w.pass(Span(601 * MS));
+    assert!(w.failed(1) && w.asked[&2].over);
+}
+
+#[test]
+fn held_requests_leave_a_drained_upstream() {
+    let mut w = World::with_servers(settings(), 2);
+    for id in 0..30 {
+        w.request(id, SAFE);
+    }
+    let draining = Member { status: Status::Draining, ..member(0, 0) };
+    w.list(ListKind::Update, &[draining]);
+    let before = w.sends_to(0);
+    for id in 0..30 {
+        w.pass(Span(MS));
+        w.outcome(id, 0, Outcome::Ok);
+    }
+    assert_eq!(w.sends_to(0), before);
+    assert!(w.sends_to(1) > 0);
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Request { class: usize, wait_ms: i64 },
+    Outcome { id: u64, attempt: usize, outcome: Outcome },
+    Pass { ms: i64 },
+    Gone { id: u64 },
+    Status { id: u32, status: Status, young: bool },
+    Whole { count: u32 },
+    Unavailable,
+    StrayTimer { token: u64 },
+}
+
+fn outcomes() -> impl Strategy<Value = Outcome> {
+    prop_oneof![
+        4 => Just(Outcome::Ok),
+        1 => Just(Outcome::Error),
+        1 => Just(Outcome::Full),
+        1 => Just(Outcome::Timeout),
+        1 => Just(Outcome::ConnectFailed),
+        1 => Just(Outcome::Reset),
+        1 => Just(Outcome::Cancelled),
+        1 => Just(Outcome::Moot),
+    ]
+}
+
+fn events() -> impl Strategy<Value = Event> {
+    let status = prop_oneof![Just(Status::Live), Just(Status::Draining), Just(Status::Gone)];
+    prop_oneof![
+        8 => (0..3usize, 0..700i64).prop_map(|(class, wait_ms)| Event::Request { class, wait_ms }),
+        8 => (0..60u64, 0..3usize, outcomes())
+            .prop_map(|(id, attempt, outcome)| Event::Outcome { id, attempt, outcome }),
+        6 => (0..80i64).prop_map(|ms| Event::Pass { ms }),
+        1 => (0..60u64).prop_map(|id| Event::Gone { id }),
+        2 => (0..8u32, status, any::<bool>())
+            .prop_map(|(id, status, young)| Event::Status { id, status, young }),
+        1 => (0..8u32).prop_map(|count| Event::Whole { count }),
+        1 => Just(Event::Unavailable),
+        1 => (0..9u64).prop_map(|token| Event::StrayTimer { token }),
+    ]
+}
+
+fn play(w: &mut World, events: Vec<Event>) {
+    let mut next = 0;
+    for event in events {
+        match event {
+            Event::Request { class, wait_ms } => {
+                w.request_until(next, class, w.now.plus(Span(wait_ms * MS)));
+                next += 1;
+            }
+            Event::Outcome { id, attempt, outcome } => w.outcome(id, attempt, outcome),
+            Event::Pass { ms } => w.pass(Span(ms * MS)),
+            Event::Gone { id } => w.gone(id),
+            Event::Status { id, status, young } => {
+                let started = young.then_some(w.now);
+                w.list(ListKind::Update, &[Member { status, started, ..member(id, id % 2) }]);
+            }
+            Event::Whole { count } => {
+                let list: Vec<_> = (0..count).map(|i| member(i, i % 2)).collect();
+                w.list(ListKind::Whole, &list);
+            }
+            Event::Unavailable => w.list(ListKind::Unavailable, &[]),
+            Event::StrayTimer { token } => {
+                let mut out = vec![];
+                w.balancer.timer(w.now, token + 1000, &mut out);
+                assert!(out.is_empty());
+            }
+        }
+    }
+}
+
+#[test]
+fn the_four_rules_hold_over_any_order_of_events() {
+    let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[41; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let input = (any::<[bool; 3]>(), prop::collection::vec(events(), 1..250));
+    let result = runner.run(&input, |([copies, ask, keys], events)| {
+        let mut s = settings();
+        (s.limits.second_copies, s.must_ask, s.warm_keys) = (copies, ask, keys);
+        if copies {
+            s.tenants = vec![Tenant { quota_rps: 5.0 }];
+        }
+        let mut w = World::with_servers(s, 4);
+        play(&mut w, events);
+        // Whatever happened, every client has one answer once its time is up.
+        w.pass(Span(2000 * MS));
+        let owed: Vec<_> = w.asked.iter().filter(|(_, a)| !a.over).map(|(id, _)| id).collect();
+        prop_assert!(owed.is_empty(), "no final answer for {:?}", owed);
+        Ok(())
+    });
+    result.unwrap();
+}
--- /dev/null
+++ b/tests/sockets/bad_input.rs
@@ -0,0 +1,124 @@
+//! Nonsense from any side: an answer or an end, nothing sent on, never a crash.
+
+use std::io::Read;
+
+use serde_json::{Value, json};
+
+use crate::helper::*;
+
+/// The program's exit code and all that it says, for a configuration that it can't run with.
+fn refused(config: &str) -> String {
+    let (mut child, mut log) = spawn(config);
+    let mut text = String::new();
+    log.read_to_string(&mut text).expect("a log");
+    assert_eq!(child.wait().expect("an end").code(), Some(1));
+    assert_eq!(text.lines().count(), 1, "one plain line: {text}");
+    text
+}
+
+fn changed(change: impl Fn(&mut Value)) -> String {
+    let mut config = config(&[]);
+    change(&mut config);
+    config.to_string()
+}
+
+#[test]
+fn a_bad_configuration_is_named_by_its_field() {
+    for (field, text) in [
+        ("line 1", "{".to_string()),
+        ("settings", changed(|c| c["settings"] = json!(null))),
+        ("settings.Services[1].Aim", changed(|c| c["settings"]["Services"][1]["Aim"] = json!("x"))),
+        ("settings", changed(|c| c["settings"]["Services"] = json!([]))),
+        ("limits.sockets", changed(|c| c["limits"]["sockets"] = json!(10))),
+        ("limits.memory_mb", changed(|c| c["limits"]["memory_mb"] = json!(8))),
+        ("listen", changed(|c| c["listen"] = json!("nowhere"))),
+        ("listen", changed(|c| c["listen"] = json!(null))),
+        ("discovery", changed(|c| c["discovery"] = json!("x:y"))),
+        ("seed", changed(|c| c["seed"] = json!("green"))),
+    ] {
+        let said = refused(&text);
+        assert!(said.contains(field), "{field}: {said}");
+    }
+}
+
+#[test]
+fn an_address_in_use_is_said() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = taken.local_addr().expect("an address").to_string();
+    let said = refused(&changed(|c| c["listen"] = json!(at)));
+    assert!(said.contains("listen") && said.contains(&at), "{said}");
+}
+
+#[test]
+fn keys_of_another_deployment_are_skipped() {
+    let (upstream, _came) = Peer::serving();
+    let mut config = config(&[upstream.address]);
+    config["new"] = json!({"deep": 1});
+    config["settings"]["New"] = json!([1]);
+    config["settings"]["Stats"] = json!({"How": "telepathy", "Names": ["mood"]});
+    config["settings"]["Services"][0]["New"] = json!(null);
+    let balancer = Balancer::start(config);
+    assert_eq!(balancer.ask(read("1", "")).status(), 200);
+}
+
+#[test]
+fn a_bad_request_goes_nowhere() {
+    let (upstream, came) = Peer::serving();
+    let balancer = Balancer::before(&[&upstream]);
+    let body = |headers: &str, body: &str| {
+        let head = post("pay", "b", "", "").replace("Content-Length: 0\r\n\r\n", "");
+        format!("{head}{headers}\r\n\r\n{body}")
+    };
+    for (what, text) in [
+        ("no id", read("1", "").replace("X-Trace-Id", "X-Other")),
+        ("an empty id", read("", "")),
+        ("no such class", read("1", "").replace("read", "dance")),
+        ("POST for GET", read("1", "").replace("GET", "POST")),
+        ("GET for POST", post("pay", "1", "", "").replace("POST", "GET")),
+        ("no key", post("put", "1", "", "x")),
+        ("no deadline", read("1", "").replace("X-Expires-In-Ms", "X-Other")),
+        ("a deadline in words", read("1", "").replace("2500", "soon")),
+        ("a deadline before now", read("1", "").replace("2500", "-5")),
+        ("a deadline of years", read("1", "").replace("2500", "99999999999999999999")),
+        ("a body too large", body("Content-Length: 99999999999", "")),
+        ("two lengths", body("Content-Length: 1\r\nContent-Length: 2", "ab")),
+        ("a length in words", body("Content-Length: two", "ab")),
+        ("a negative length", body("Content-Length: -2", "ab")),
+        ("a bad chunk size", body("Transfer-Encoding: chunked", "zz\r\nab\r\n0\r\n\r\n")),
+        ("a huge chunk", body("Transfer-Encoding: chunked", "fffffffffffffffff\r\nab")),
+        ("a long head", read("1", &format!("X-Long: {}\r\n", "l".repeat(300_000)))),
+        ("no HTTP", "\x16\x03\x01\0nonsense\r\n\r\n".to_string()),
+        ("a binary", "\0\0\0\0\0\0\0\r\n\r\n".to_string()),
+    ] {
+        let mut client = balancer.client();
+        client.write(&text);
+        let answer = client.message().unwrap_or_else(|| panic!("{what}: no answer"));
+        assert!((400..500).contains(&answer.status()), "{what}: {}", answer.line);
+        client.await_end();
+    }
+    // A body that ends short: nothing to answer.
+    let mut client = balancer.client();
+    client.write(body("Content-Length: 9", "short"));
+    client.finish();
+    while client.message().is_some() {}
+    assert_eq!(balancer.ask(read("good", "")).status(), 200);
+    assert_eq!(came.recv_timeout(LONG).expect("a request").id(), "good", "nothing else was sent");
+}
+
+#[test]
+fn a_list_with_odd_entries_is_used_without_them() {
+    let (upstream, _came) = Peer::serving();
+    let mut config = config(&[upstream.address]);
+    let known = config["known"]["members"].as_array_mut().expect("members");
+    let mut strange = known[0].clone();
+    strange["locality"] = json!("atlantis");
+    strange["flavor"] = json!("xxl");
+    known[0] = strange;
+    known.insert(0, json!({"id": 5}));
+    known.push(json!("nonsense"));
+    known.push(entry("s-9", "127.0.0.1:1".parse().expect("an address"), "DREAMING"));
+    let balancer = Balancer::start(config);
+    for id in 0..5 {
+        assert_eq!(balancer.ask(post("pay", &id.to_string(), "", "x")).status(), 200);
+    }
+}
--- /dev/null
+++ b/tests/sockets/discovery.rs
@@ -0,0 +1,103 @@
+//! The list, the watch, and what is kept while they fail.
+
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use crate::helper::*;
+
+fn asking(discovery: &Discovery, upstreams: &[&Peer], mode: &str) -> Value {
+    let mut config = config(&upstreams.iter().map(|u| u.address).collect::<Vec<_>>());
+    config["discovery"] = json!(discovery.address.to_string());
+    config["settings"]["RegistryMode"] = json!(mode);
+    // The module asks again within a share of this.
+    config["settings"]["Safety"]["AskEvery"] = json!(1000.0);
+    config
+}
+
+/// Sends requests until the one upstream serves them all.
+fn served_by(balancer: &Balancer, name: &str) {
+    eventually("only one upstream is used", || {
+        (0..10).all(|_| balancer.ask(read("1", "")).body == name.as_bytes())
+    });
+}
+
+fn named(name: &'static str) -> Peer {
+    Peer::upstream(move |_, _, conn| {
+        conn.write(ok(name));
+        true
+    })
+    .0
+}
+
+#[test]
+fn a_drain_is_kept_and_its_connections_closed() {
+    for mode in ["subscribe", "automatic"] {
+        let discovery = Discovery::start();
+        let (ended, end) = std::sync::mpsc::channel();
+        let ended = std::sync::Mutex::new(ended);
+        let old = Peer::start(move |_, mut conn| {
+            while conn.message().is_some() {
+                conn.write(ok("old"));
+            }
+            let _ = ended.lock().expect("unpoisoned").send(());
+        });
+        let new = named("new");
+        let balancer = Balancer::start(asking(&discovery, &[&old], mode));
+        assert_eq!(balancer.ask(read("1", "")).body, b"old");
+        let (call, say) = discovery.call();
+        assert!(call.starts_with("GET /discovery/hosts?after=1&wait_ms="), "{call}");
+        let changes = [entry("s-0", old.address, "DRAINING"), entry("s-1", new.address, "SERVING")];
+        say.send(Told::Whole(list(2, false, &changes))).expect("a call");
+        let told = Instant::now();
+        let (call, _say) = discovery.call();
+        assert!(told.elapsed() < Duration::from_millis(200), "the watch goes on");
+        assert!(call.contains("after=2&"), "{call}");
+        end.recv_timeout(LONG).expect("the idle connection is closed");
+        served_by(&balancer, "new");
+    }
+}
+
+#[test]
+fn an_upstream_missing_from_a_whole_list_is_gone() {
+    let discovery = Discovery::start();
+    let (old, new) = (named("old"), named("new"));
+    let balancer = Balancer::start(asking(&discovery, &[&old], "subscribe"));
+    let whole = list(7, true, &[entry("s-1", new.address, "SERVING")]);
+    discovery.call().1.send(Told::Whole(whole)).expect("a call");
+    served_by(&balancer, "new");
+}
+
+#[test]
+fn a_failed_watch_is_taken_up_again() {
+    let discovery = Discovery::start();
+    let (old, new) = (named("old"), named("new"));
+    let balancer = Balancer::start(asking(&discovery, &[&old], "subscribe"));
+    let gone = [entry("s-0", old.address, "DELETED"), entry("s-1", new.address, "SERVING")];
+    for nonsense in [Told::Down, Told::Whole(json!("nonsense")), Told::Cut(json!({}), 5)] {
+        let (call, say) = discovery.call();
+        assert!(call.contains("after=1&"), "{call}");
+        say.send(nonsense).expect("a call");
+        assert_eq!(balancer.ask(read("1", "")).body, b"old", "what was known is kept");
+    }
+    discovery.call().1.send(Told::Whole(list(2, false, &gone))).expect("a call");
+    served_by(&balancer, "new");
+}
+
+#[test]
+fn what_came_whole_of_a_cut_answer_is_used() {
+    for stall in [false, true] {
+        let discovery = Discovery::start();
+        let (old, new) = (named("old"), named("new"));
+        let balancer = Balancer::start(asking(&discovery, &[&old, &new], "subscribe"));
+        let drained = entry("s-0", old.address, "DRAINING");
+        let cut = list(2, true, &[drained, entry("s-1", new.address, "DELETED")]);
+        let whole = ok(&cut.to_string()).len();
+        let (_, say) = discovery.call();
+        let said = if stall { Told::Stalled(cut, whole - 20) } else { Told::Cut(cut, whole - 20) };
+        say.send(said).expect("a call");
+        served_by(&balancer, "new");
+        let (call, _say) = discovery.call();
+        assert!(call.contains("after=1&"), "the version has not been reached: {call}");
+    }
+}
--- /dev/null
+++ b/tests/sockets/helper.rs
@@ -0,0 +1,406 @@
+//! The other ends of a balancer's sockets, scripted: upstreams, clients and discovery.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+use std::{env, fs, thread};
+
+use serde_json::{Value, json};
+
+/// What a test waits for at most before it fails: far past anything that is expected.
+pub const LONG: Duration = Duration::from_secs(30);
+
+/// A message as it came.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    /// The request line or status line.
+    pub line: String,
+    /// Names in lower case.
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// Bytes of it on the wire.
+    pub bytes: usize,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+    pub fn status(&self) -> u16 {
+        self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
+    }
+    pub fn id(&self) -> &str {
+        self.header("x-trace-id").expect("an id")
+    }
+}
+
+/// One end of a connection.
+pub struct Conn {
+    stream: TcpStream,
+    ahead: Vec<u8>,
+}
+
+impl Conn {
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        stream.set_nodelay(true).expect("no delay");
+        Self { stream, ahead: Vec::new() }
+    }
+
+    pub fn write(&mut self, bytes: impl AsRef<[u8]>) {
+        // The other end may have left: what comes of it is the test's to judge.
+        let _ = self.stream.write_all(bytes.as_ref());
+    }
+
+    /// More bytes; none at the end of the connection, however it ended.
+    fn more(&mut self) -> usize {
+        let mut buffer = [0; 65536];
+        let n = match self.stream.read(&mut buffer) {
+            Ok(n) => n,
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => panic!("nothing came"),
+            Err(_) => 0,
+        };
+        self.ahead.extend_from_slice(&buffer[..n]);
+        n
+    }
+
+    fn take_line(&mut self) -> Option<String> {
+        loop {
+            if let Some(i) = self.ahead.windows(2).position(|w| w == b"\r\n") {
+                let line: Vec<u8> = self.ahead.drain(..i + 2).collect();
+                return Some(String::from_utf8_lossy(&line[..i]).into_owned());
+            }
+            if self.more() == 0 {
+                return None;
+            }
+        }
+    }
+
+    fn take(&mut self, n: usize) -> Option<Vec<u8>> {
+        while self.ahead.len() < n {
+            if self.more() == 0 {
+                return None;
+            }
+        }
+        Some(self.ahead.drain(..n).collect())
+    }
+
+    /// The next message's line and headers; `None` if the connection ends before them.
+    pub fn head(&mut self) -> Option<Message> {
+        let mut message = Message { line: self.take_line()?, ..Default::default() };
+        message.bytes = message.line.len() + 2;
+        loop {
+            let line = self.take_line()?;
+            message.bytes += line.len() + 2;
+            if line.is_empty() {
+                return Some(message);
+            }
+            let (name, value) = line.split_once(':').expect("a header");
+            message.headers.push((name.to_lowercase(), value.trim().to_string()));
+        }
+    }
+
+    /// The next message, whole; `None` if the connection ends before it is.
+    pub fn message(&mut self) -> Option<Message> {
+        let mut message = self.head()?;
+        if message.header("transfer-encoding").is_some() {
+            loop {
+                let size = usize::from_str_radix(&self.take_line()?, 16).expect("a chunk size");
+                message.body.extend(self.take(size)?);
+                self.take_line()?;
+                if size == 0 {
+                    break;
+                }
+            }
+        } else if let Some(length) = message.header("content-length") {
+            message.body = self.take(length.parse().expect("a length"))?;
+            message.bytes += message.body.len();
+        }
+        Some(message)
+    }
+
+    /// Waits until the other end has closed; panics if it says anything first.
+    pub fn await_end(&mut self) {
+        while self.more() > 0 {}
+        assert_eq!(self.ahead, b"", "nothing but the end was expected");
+    }
+
+    /// Whether the other end has closed within this time.
+    pub fn ends_within(&mut self, time: Duration) -> bool {
+        self.stream.set_read_timeout(Some(time)).expect("a time-out");
+        let ended = !matches!(self.stream.read(&mut [0; 1]),
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
+        self.stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        ended
+    }
+
+    /// Reads this many bytes and leaves the rest unread.
+    pub fn read_some(&mut self, n: usize) {
+        while self.ahead.len() < n && self.more() > 0 {}
+    }
+
+    pub fn finish(&mut self) {
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
+    /// Ends the connection with a reset.
+    pub fn reset(self) {
+        let socket = socket2::Socket::from(self.stream);
+        socket.set_linger(Some(Duration::ZERO)).expect("linger");
+    }
+}
+
+pub fn answer(status: &str, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+pub fn ok(body: &str) -> String {
+    answer("200 OK", "", body)
+}
+
+/// Serves each connection by a script, on a thread of its own, with the connection's number.
+pub struct Peer {
+    pub address: SocketAddr,
+}
+
+impl Peer {
+    pub fn start(script: impl Fn(usize, Conn) + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let script = std::sync::Arc::new(script);
+        thread::spawn(move || {
+            for (number, stream) in listener.incoming().enumerate() {
+                let script = script.clone();
+                let conn = Conn::new(stream.expect("a connection"));
+                thread::spawn(move || script(number, conn));
+            }
+        });
+        Self { address }
+    }
+
+    /// An upstream that answers each request by `reply`, given the request's number over all
+    /// connections, and tells of each that came.
+    pub fn upstream(
+        reply: impl Fn(usize, &Message, &mut Conn) -> bool + Send + Sync + 'static,
+    ) -> (Self, Receiver<Message>) {
+        let (told, came) = channel();
+        let count = AtomicU64::new(0);
+        let told = std::sync::Mutex::new(told);
+        let peer = Self::start(move |_, mut conn| {
+            while let Some(message) = conn.message() {
+                let number = count.fetch_add(1, Ordering::SeqCst) as usize;
+                let _ = told.lock().expect("unpoisoned").send(message.clone());
+                if !reply(number, &message, &mut conn) {
+                    return;
+                }
+            }
+        });
+        (peer, came)
+    }
+
+    /// An upstream that serves whatever comes.
+    pub fn serving() -> (Self, Receiver<Message>) {
+        Self::upstream(|_, message, conn| {
+            conn.write(ok(message.id()));
+            true
+        })
+    }
+}
+
+/// A discovery service that answers each call by what the test sends.
+pub struct Discovery {
+    pub address: SocketAddr,
+    pub calls: Receiver<(String, Sender<Told>)>,
+}
+
+/// What discovery says to a call.
+pub enum Told {
+    Whole(Value),
+    /// So many bytes of it, then the end.
+    Cut(Value, usize),
+    /// So many bytes of it, then nothing.
+    Stalled(Value, usize),
+    Down,
+}
+
+impl Discovery {
+    pub fn start() -> Self {
+        let (told, calls) = channel();
+        let told = std::sync::Mutex::new(told);
+        let peer = Peer::start(move |_, mut conn| {
+            while let Some(call) = conn.message() {
+                let (say, said) = channel();
+                let _ = told.lock().expect("unpoisoned").send((call.line, say));
+                // A test that has ended says nothing more.
+                let Ok(said) = said.recv() else { return };
+                let whole = |list: &Value| ok(&list.to_string());
+                match said {
+                    Told::Whole(list) => conn.write(whole(&list)),
+                    Told::Down => conn.write(answer("503 Down", "", "")),
+                    Told::Cut(list, n) => return conn.write(&whole(&list)[..n]),
+                    Told::Stalled(list, n) => {
+                        conn.write(&whole(&list)[..n]);
+                        conn.await_end();
+                        return;
+                    }
+                }
+            }
+        });
+        Self { address: peer.address, calls }
+    }
+
+    /// The next call's request line, and where to say what it is told.
+    pub fn call(&self) -> (String, Sender<Told>) {
+        self.calls.recv_timeout(LONG).expect("a call of discovery")
+    }
+}
+
+pub fn entry(id: &str, at: SocketAddr, phase: &str) -> Value {
+    json!({"id": id, "host_port": at.to_string(), "locality": "a", "flavor": "m", "cell": 0,
+           "phase": phase, "size": 1.0, "up_since_ms": 0})
+}
+
+pub fn list(revision: u64, complete: bool, members: &[Value]) -> Value {
+    json!({"revision": revision, "complete": complete, "members": members})
+}
+
+/// A configuration with a class of each effect and these upstreams.
+pub fn config(upstreams: &[SocketAddr]) -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"Name": name, "Aim": 2000.0, "Deadline": 3000.0, "Effect": effect, "Group": "all",
+               "Window": 5000.0})
+    };
+    let members: Vec<_> = upstreams
+        .iter()
+        .enumerate()
+        .map(|(i, at)| entry(&format!("s-{i}"), *at, "SERVING"))
+        .collect();
+    json!({
+    "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+    "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+    "known": list(1, true, &members),
+    "settings": {
+        "Balancers": 1, "Tick": 5.0, "RegistryMode": "automatic", "Zones": ["a", "b"],
+        "MachineTypes": ["m"],
+        "Services": [class("read", "retryable"), class("put", "dedup"), class("pay", "fragile")],
+        "PolicyLimits": {"MaxAttempts": 4, "SecondCopies": true, "Cancelling": true,
+                         "ConnectTimeout": 500.0, "Keepalive": 30000.0, "RetryAfter": true,
+                         "MaxOpen": 1000},
+        "Safety": {"AskEvery": 10000.0, "Cold": 24000.0, "ColdFrom": 0.13, "DrainGrace": 1000.0,
+                   "FallMultiple": 3.0, "TipAfter": 1500.0},
+    }})
+}
+
+/// A balancer as a process of its own.
+pub struct Balancer {
+    child: Child,
+    log: BufReader<ChildStderr>,
+    pub address: SocketAddr,
+}
+
+/// Starts the program on a configuration text; the file is gone once it has ended.
+pub fn spawn(config: &str) -> (Child, BufReader<ChildStderr>) {
+    static COUNT: AtomicU64 = AtomicU64::new(0);
+    let number = COUNT.fetch_add(1, Ordering::SeqCst);
+    let name = format!("latchfront-{}-{number}.json", std::process::id());
+    let path = env::temp_dir().join(name);
+    fs::write(&path, config).expect("a file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_latchfront"));
+    command.env("ROUTER_CONFIG", &path).env_remove("ROUTER_LISTEN").env_remove("ROUTER_DISCOVERY");
+    let mut child = command.stderr(Stdio::piped()).spawn().expect("the balancer starts");
+    let mut log = BufReader::new(child.stderr.take().expect("piped"));
+    // It has read its configuration once it says anything, or ends.
+    log.fill_buf().expect("a log");
+    let _ = fs::remove_file(path);
+    (child, log)
+}
+
+impl Balancer {
+    pub fn start(config: Value) -> Self {
+        let (child, mut log) = spawn(&config.to_string());
+        let mut line = String::new();
+        log.read_line(&mut line).expect("a log line");
+        let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+        let address = address.unwrap_or_else(|| panic!("no address in {line:?}"));
+        Self { child, log, address }
+    }
+
+    pub fn before(upstreams: &[&Peer]) -> Self {
+        Self::start(config(&upstreams.iter().map(|u| u.address).collect::<Vec<_>>()))
+    }
+
+    pub fn client(&self) -> Conn {
+        Conn::new(TcpStream::connect(self.address).expect("a connection"))
+    }
+
+    /// Sends one request on a new connection and returns its answer.
+    pub fn ask(&self, request: impl AsRef<[u8]>) -> Message {
+        let mut client = self.client();
+        client.write(request);
+        client.message().expect("an answer")
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &pid]).status().expect("kill");
+        assert!(status.success());
+    }
+
+    /// Its exit code.
+    pub fn await_exit(&mut self) -> Option<i32> {
+        let mut rest = String::new();
+        let _ = self.log.read_to_string(&mut rest);
+        self.child.wait().expect("an end").code()
+    }
+
+    /// Descriptors that it holds now.
+    pub fn descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        fs::read_dir(path).expect("a process").count()
+    }
+
+    /// The most memory that it has held, in MB.
+    pub fn peak_memory_mb(&self) -> usize {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("a process");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a peak");
+        line.trim().trim_end_matches(" kB").parse::<usize>().expect("a number") / 1024
+    }
+}
+
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A request of the class that is safe to repeat, in a head that `more` adds to.
+pub fn read(id: &str, more: &str) -> String {
+    format!(
+        "GET /read/x?q=1 HTTP/1.1\r\nHost: h\r\nX-Trace-Id: {id}\r\nX-Qos: read\r\n\
+         X-Expires-In-Ms: 2500\r\n{more}\r\n"
+    )
+}
+
+/// A request of a class that has a body.
+pub fn post(class: &str, id: &str, more: &str, body: &str) -> String {
+    format!(
+        "POST /{class} HTTP/1.1\r\nHost: h\r\nX-Trace-Id: {id}\r\nX-Qos: {class}\r\n\
+         X-Expires-In-Ms: 2500\r\n{more}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Waits until a condition holds that no event tells of.
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + LONG;
+    while !holds() {
+        assert!(Instant::now() < end, "{what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
--- /dev/null
+++ b/tests/sockets/main.rs
@@ -0,0 +1,10 @@
+//! The balancer as a process, between scripted clients, upstreams and discovery.
+
+mod helper;
+
+mod bad_input;
+mod bulk;
+mod discovery;
+mod outcomes;
+mod requests;
+mod shutdown;
--- /dev/null
+++ b/tests/sockets/outcomes.rs
@@ -0,0 +1,217 @@
+//! The protocol's table: what comes back, and whether the request may have run.
+
+use std::net::TcpListener;
+use std::time::{Duration, Instant};
+
+use crate::helper::*;
+
+/// An unsafe request whose first attempt meets `fault`, then a safe one. Returns the status of
+/// the first, and the ids that the upstream was sent.
+fn unsafe_after(fault: impl Fn(Conn) + Send + Sync + 'static) -> (u16, Vec<String>) {
+    let (told, came) = std::sync::mpsc::channel();
+    let told = std::sync::Mutex::new((told, false));
+    let upstream = Peer::start(move |_, mut conn| {
+        while let Some(message) = conn.message() {
+            let mut told = told.lock().expect("unpoisoned");
+            told.0.send(message.id().to_string()).expect("a test");
+            if !std::mem::replace(&mut told.1, true) {
+                drop(told);
+                return fault(conn);
+            }
+            conn.write(ok(message.id()));
+        }
+    });
+    let balancer = Balancer::before(&[&upstream]);
+    let start = Instant::now();
+    let first = balancer.ask(post("pay", "pay", "", "x").replace("2500", "1000"));
+    assert!(start.elapsed() < Duration::from_millis(1050), "in time: {:?}", start.elapsed());
+    let first = first.status();
+    // What is sent after the final answer would come before this one.
+    assert_eq!(balancer.ask(read("read", "")).status(), 200);
+    (first, came.try_iter().collect())
+}
+
+fn may_have_run(fault: impl Fn(Conn) + Send + Sync + 'static) {
+    let (status, sent) = unsafe_after(fault);
+    assert_eq!(status, 502, "failed, with no promise");
+    assert_eq!(sent, ["pay", "read"], "never sent twice");
+}
+
+fn never_ran(fault: impl Fn(Conn) + Send + Sync + 'static) {
+    let (status, sent) = unsafe_after(fault);
+    assert_eq!(status, 200);
+    assert_eq!(sent, ["pay", "pay", "read"], "sent again");
+}
+
+#[test]
+fn an_error_may_have_run() {
+    may_have_run(|mut conn| conn.write(answer("500 Oops", "", "no")));
+}
+
+#[test]
+fn a_503_with_no_mark_may_have_run() {
+    may_have_run(|mut conn| conn.write(answer("503 Busy", "Retry-After: 1\r\n", "")));
+}
+
+#[test]
+fn a_429_of_an_upstream_is_not_passed_on() {
+    may_have_run(|mut conn| conn.write(answer("429 Slow Down", "", "")));
+}
+
+#[test]
+fn an_odd_answer_may_have_run() {
+    may_have_run(|mut conn| conn.write(answer("204 No Content", "", "")));
+}
+
+#[test]
+fn nonsense_may_have_run() {
+    may_have_run(|mut conn| conn.write("\0\x01nonsense\r\n\r\n"));
+}
+
+#[test]
+fn a_reset_after_the_request_may_have_run() {
+    may_have_run(Conn::reset);
+}
+
+#[test]
+fn a_close_after_the_request_may_have_run() {
+    may_have_run(drop);
+}
+
+#[test]
+fn an_answer_cut_inside_may_have_run() {
+    may_have_run(|mut conn| conn.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"));
+}
+
+#[test]
+fn an_answer_reset_inside_may_have_run() {
+    may_have_run(|mut conn| {
+        conn.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+        conn.reset();
+    });
+}
+
+#[test]
+fn silence_may_have_run() {
+    may_have_run(|mut conn| conn.await_end());
+}
+
+#[test]
+fn silence_inside_an_answer_may_have_run() {
+    may_have_run(|mut conn| {
+        conn.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+        conn.await_end();
+    });
+}
+
+#[test]
+fn turned_away_never_ran() {
+    never_ran(|mut conn| conn.write(answer("503 Full", "X-Never-Ran: 1\r\n", "full")));
+}
+
+#[test]
+fn over_already_never_ran() {
+    never_ran(|mut conn| conn.write(answer("504 Over", "x-never-ran: 1\r\n", "")));
+}
+
+#[test]
+fn a_refused_connection_never_ran() {
+    // A port that nothing listens on until the first attempt has failed.
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let dead = listener.local_addr().expect("an address");
+    drop(listener);
+    let (upstream, came) = Peer::serving();
+    let balancer = Balancer::start(config(&[dead, upstream.address]));
+    for i in 0..8 {
+        let answer = balancer.ask(post("pay", &i.to_string(), "", "x"));
+        assert_eq!(answer.status(), 200);
+        assert_eq!(came.recv_timeout(LONG).expect("a request").id(), i.to_string());
+    }
+    assert!(came.try_recv().is_err(), "each once");
+}
+
+#[test]
+fn a_break_before_the_last_byte_never_ran() {
+    // Far more than fits into the sockets' buffers.
+    let body = "b".repeat(24 << 20);
+    let upstream = Peer::start(|number, mut conn| {
+        if number == 0 {
+            conn.read_some(1000);
+            return conn.reset();
+        }
+        while let Some(message) = conn.message() {
+            conn.write(ok(&message.body.len().to_string()));
+        }
+    });
+    let balancer = Balancer::before(&[&upstream]);
+    let answer = balancer.ask(post("pay", "1", "", &body));
+    assert_eq!((answer.status(), answer.body), (200, body.len().to_string().into_bytes()));
+}
+
+#[test]
+fn a_rested_connection_reset_by_the_first_byte_never_ran() {
+    let (told, came) = std::sync::mpsc::channel();
+    let told = std::sync::Mutex::new(told);
+    let upstream = Peer::start(move |number, mut conn| {
+        while let Some(message) = conn.message() {
+            told.lock().expect("unpoisoned").send(message.id().to_string()).expect("a test");
+            conn.write(ok(message.id()));
+            if number == 0 {
+                conn.read_some(1);
+                return conn.reset();
+            }
+        }
+    });
+    let balancer = Balancer::before(&[&upstream]);
+    for id in ["1", "2"] {
+        assert_eq!(balancer.ask(post("pay", id, "", "x")).status(), 200);
+    }
+    assert_eq!(came.try_iter().collect::<Vec<_>>(), ["1", "2"]);
+}
+
+#[test]
+fn a_connection_closed_behind_its_answer_costs_nothing() {
+    let (upstream, came) = Peer::upstream(|_, message, conn| {
+        conn.write(ok(message.id()));
+        false
+    });
+    let balancer = Balancer::before(&[&upstream]);
+    let mut client = balancer.client();
+    for i in 0..50 {
+        client.write(post("pay", &i.to_string(), "", "x"));
+        assert_eq!(client.message().expect("an answer").status(), 200);
+    }
+    assert_eq!(came.iter().take(50).count(), 50);
+}
+
+#[test]
+fn a_stray_byte_on_an_idle_connection_is_no_answer() {
+    let (upstream, _came) = Peer::upstream(|_, message, conn| {
+        conn.write(ok(message.id()) + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+        true
+    });
+    let balancer = Balancer::before(&[&upstream]);
+    let mut client = balancer.client();
+    for i in 0..5 {
+        client.write(read(&i.to_string(), ""));
+        assert_eq!(client.message().expect("an answer").body, i.to_string().as_bytes());
+    }
+}
+
+#[test]
+fn one_connection_carries_one_request_at_a_time() {
+    let (upstream, came) = Peer::upstream(|_, message, conn| {
+        assert!(!conn.ends_within(Duration::from_millis(1)), "nothing behind the request");
+        conn.write(ok(message.id()));
+        true
+    });
+    let balancer = Balancer::before(&[&upstream]);
+    let mut clients: Vec<_> = (0..3).map(|_| balancer.client()).collect();
+    for (i, client) in clients.iter_mut().enumerate() {
+        client.write(read(&i.to_string(), ""));
+    }
+    for (i, client) in clients.iter_mut().enumerate() {
+        assert_eq!(client.message().expect("an answer").body, i.to_string().as_bytes());
+    }
+    assert_eq!(came.iter().take(3).count(), 3);
+}
