--- a/src/bin/latchfront/config.rs
+++ b/src/bin/latchfront/config.rs
@@ -17,7 +17,7 @@
 const SOCKETS_OTHER: usize = 24;
 /// Fewest descriptors and least memory that the balancer can work in.
 const SOCKETS_LEAST: usize = 64;
-const MEMORY_LEAST_MB: usize = 96;
+const MEMORY_LEAST_MB: usize = 24;
 
 #[derive(Deserialize)]
 struct File {
@@ -62,6 +62,22 @@
         Self::from_file(file).map_err(|e| format!("configuration {path}: {e}"))
     }
 
+    /// Where discovery is, as the file says now: the one thing that a running balancer takes from
+    /// a new file. It is read as loosely as that needs, so that whatever else is new or wrong in
+    /// the file does not keep a balancer from the list.
+    pub fn reread_discovery() -> Result<SocketAddr, String> {
+        #[derive(Deserialize)]
+        struct Moved {
+            discovery: SocketAddr,
+        }
+        let path = env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set".to_string())?;
+        let text = std::fs::read(&path).map_err(|e| format!("configuration {path}: {e}"))?;
+        let mut reader = serde_json::Deserializer::from_slice(&text);
+        let moved: Moved = serde_path_to_error::deserialize(&mut reader)
+            .map_err(|e| format!("configuration {path}: field `{}`: {}", e.path(), e.inner()))?;
+        Ok(moved.discovery)
+    }
+
     fn from_file(file: File) -> Result<Self, String> {
         let address = |field: &str, value: Option<String>, variable: &str| {
             let value = value.or_else(|| env::var(variable).ok());
@@ -82,8 +98,10 @@
             hex => u64::from_str_radix(hex, 16)
                 .map_err(|_| format!("field `seed`: not up to 16 hex digits: {hex:?}"))?,
         };
-        // A quarter for upstreams: each carries one request at a time, while clients mostly idle.
-        let upstreams = (sockets - SOCKETS_OTHER) / 4;
+        // Two fifths for upstreams: each connection carries one request at a time, and a third of
+        // all descriptors may belong to clients that wait for one. Failure: with fewer, requests
+        // waited here for a descriptor, and the upstream was blamed that could not be reached.
+        let upstreams = (sockets - SOCKETS_OTHER) * 2 / 5;
         Ok(Self {
             listen: address("listen", file.listen, "ROUTER_LISTEN")?,
             discovery: address("discovery", file.discovery, "ROUTER_DISCOVERY")?,
--- a/src/bin/latchfront/main.rs
+++ b/src/bin/latchfront/main.rs
@@ -53,6 +53,7 @@
     let listener =
         listen(&config).map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("field `listen`: {e}"))?;
     let node = Node::start(config)?;
     eprintln!("latchfront: listening on {address}");
@@ -68,6 +69,20 @@
         }
     });
 
+    let n = node.clone();
+    spawn_local(async move {
+        // It comes while the file may be half replaced or wrong: then what was told before holds.
+        while hangup.recv().await.is_some() {
+            match Config::reread_discovery() {
+                Ok(at) => {
+                    eprintln!("latchfront: SIGHUP; discovery is at {at}");
+                    n.move_discovery(at);
+                }
+                Err(e) => eprintln!("latchfront: SIGHUP; nothing is changed: {e}"),
+            }
+        }
+    });
+
     term.recv().await;
     let told = Instant::now();
     eprintln!("latchfront: SIGTERM; {} connections, {} open", frontend.connections(), node.open());
--- a/src/bin/latchfront/node.rs
+++ b/src/bin/latchfront/node.rs
@@ -22,6 +22,7 @@
 use crate::config::Config;
 use crate::discovery::{self, Entry};
 use crate::upstream::{self, Pool};
+use crate::wire::Task;
 
 /// The monotonic clock, anchored once to Unix time so that `up_since_ms` fits on it.
 pub struct Clock {
@@ -127,7 +128,8 @@
     upstreams: Vec<Upstream>,
     by_name: FxHashMap<Box<str>, ServerId>,
     revision: Option<u64>,
-    watching: bool,
+    /// The running watch of discovery, if there is one.
+    watch: Option<Task>,
 }
 
 pub struct Node {
@@ -135,7 +137,7 @@
     pub clock: Clock,
     pub facts: Facts,
     pub pool: Pool,
-    discovery: SocketAddr,
+    discovery: Cell<SocketAddr>,
 }
 
 impl Node {
@@ -152,14 +154,14 @@
             upstreams: Vec::new(),
             by_name: FxHashMap::default(),
             revision: None,
-            watching: false,
+            watch: None,
         };
         let node = Rc::new(Self {
             state: RefCell::new(state),
             clock,
             pool: Pool::new(upstreams, &facts.policy_limits),
             facts,
-            discovery,
+            discovery: Cell::new(discovery),
         });
         node.tell(|balancer, now, out| balancer.start(now, out));
         if let Some(known) = known {
@@ -167,11 +169,30 @@
             node.listed(ListKind::Restored, Some(revision), known.entries());
         }
         if !node.must_ask() {
-            spawn_local(discovery::watch(node.clone(), discovery, true));
+            node.watch(&mut node.state.borrow_mut());
         }
         Ok(node)
     }
 
+    /// Begins to watch discovery where it now is; a watch that runs already ends.
+    fn watch(self: &Rc<Self>, state: &mut State) {
+        let pushed = !self.must_ask();
+        state.watch =
+            Some(Task::spawn(discovery::watch(self.clone(), self.discovery.get(), pushed)));
+    }
+
+    /// Discovery is at this address from now on. Its list is asked for whole: versions of one
+    /// service need not be those of another. Guards against an old service that still answers
+    /// for a while, or says nothing more; costs one whole list if the address is the same.
+    pub fn move_discovery(self: &Rc<Self>, at: SocketAddr) {
+        self.discovery.set(at);
+        let mut state = self.state.borrow_mut();
+        state.revision = None;
+        if state.watch.is_some() {
+            self.watch(&mut state);
+        }
+    }
+
     fn must_ask(&self) -> bool {
         self.facts.registry_mode == petreltack::settings::RegistryMode::Subscribe
     }
@@ -233,8 +254,8 @@
                 }
             }
             Action::Subscribe => {
-                if !std::mem::replace(&mut state.watching, true) {
-                    spawn_local(discovery::watch(self.clone(), self.discovery, false));
+                if state.watch.is_none() {
+                    self.watch(state);
                 }
             }
         }
@@ -411,7 +432,7 @@
 
     /// A list call failed, or the watch broke.
     pub fn list_failed(self: &Rc<Self>) {
-        self.state.borrow_mut().watching = false;
+        self.state.borrow_mut().watch = None;
         self.tell(|balancer, now, out| balancer.members(now, ListKind::Unavailable, &[], out));
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,7 +3,7 @@
 //! The ordinary path is the mechanism of Ould Deye et al.: a first-come queue at the
 //! proxy, at most `K_i = 2*TP_i/TS_i + 1` requests out per upstream, and refusal once
 //! queued plus in-flight reach the sum of `N_i = T_QoS / (2*TP_i + TS_i)`. The reading
-//! order is the order of the sections below; `docs/design.md` gives the reasons.
+//! order is the order of the sections below; comments give the reasons.
 
 use std::collections::VecDeque;
 
--- a/tests/sockets/bulk.rs
+++ b/tests/sockets/bulk.rs
@@ -76,6 +76,16 @@
     assert_eq!(balancer.ask(post("pay", "z", "", "x")).status(), 200, "the room is free again");
 }
 
+#[test]
+fn the_smallest_limits_of_a_deployment_are_enough() {
+    let (upstream, _came) = Peer::serving();
+    let mut config = config(&[upstream.address]);
+    config["limits"] = serde_json::json!({"cores": 0.2, "memory_mb": 32, "sockets": 256});
+    let balancer = Balancer::start(config);
+    assert_eq!(balancer.ask(read("1", "")).status(), 200);
+    assert!(balancer.peak_memory_mb() < 16, "{} MB", balancer.peak_memory_mb());
+}
+
 #[test]
 fn a_crowd_does_not_shut_the_door() {
     let (upstream, _came) = Peer::serving();
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -6,5 +6,6 @@
 mod bulk;
 mod discovery;
 mod outcomes;
+mod reload;
 mod requests;
 mod shutdown;
