Bound what a peer can hold or hide: time, length, ids, old upstreams

Causes: frontend.rs gave heads and bodies 5 s each (3 s are owed from the connect) and silent or idle connections for ever; BODY_MAX was 32 MB and answers past 64 KiB were streamed, though the protocol has none, so a false 3 GB answer was passed on; node.rs let two open requests share an id; hyper hides a length beside a transfer coding (role.rs drops it in either order, read, not guessed), so the lines are looked at on the wire; node.upstreams, Pool.retired and the module's servers were never forgotten; what a whole list left out kept its idle connections; a send could start after its connect outlasted a drain.

--- a/src/bin/latchfront/config.rs
+++ b/src/bin/latchfront/config.rs
@@ -8,10 +8,10 @@
 
 use crate::discovery::Snapshot;
 
-/// The largest request body taken.
-pub const BODY_MAX: usize = 32 << 20;
-/// Bodies and answers up to this size are held whole without drawing on a budget.
-pub const SMALL: usize = 64 << 10;
+/// The largest body, of a request or an answer, that the protocol has.
+pub const BODY_MAX: usize = 64 << 10;
+/// The largest head, and what is buffered of one connection at most.
+pub const HEAD_MAX: usize = 32 << 10;
 /// Descriptors kept for all that is neither a client nor an upstream: standard streams, the
 /// listener, the event queue, discovery.
 const SOCKETS_OTHER: usize = 24;
@@ -47,7 +47,7 @@
     pub clients: usize,
     /// Most connections to upstreams.
     pub upstreams: usize,
-    /// Bytes for bodies past [`SMALL`], apart from the one reserve of [`BODY_MAX`].
+    /// Bytes for bodies of requests, past what each connection has of its own.
     pub bodies: usize,
 }
 
@@ -110,7 +110,7 @@
             facts: file.settings,
             clients: sockets - SOCKETS_OTHER - upstreams,
             upstreams,
-            bodies: (memory_mb << 20) / 5,
+            bodies: (memory_mb << 20) / 8,
         })
     }
 }
--- a/src/bin/latchfront/frontend.rs
+++ b/src/bin/latchfront/frontend.rs
@@ -22,30 +22,31 @@
 use petreltack::types::Span;
 use rustc_hash::FxHashMap;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::config::{BODY_MAX, SMALL};
-use crate::node::{Asked, Message, Node, Part, Reply, Taken};
+use crate::config::{BODY_MAX, HEAD_MAX};
+use crate::node::{Asked, Message, Node, Reply, Taken, Turned};
 use crate::wire::{Io, Wire};
 
-/// A head may honestly take 2 s; one that is not whole by now never will be.
-const HEAD: Duration = Duration::from_secs(5);
-/// A body that moves slower than this after its grace is given up; an honest one may come at
-/// 64 kB a second.
-const BODY_RATE: f64 = 16_000.0;
-const BODY_GRACE: Duration = Duration::from_secs(5);
-/// How long a body may wait for room before its request is refused.
-const ROOM_WAIT: Duration = Duration::from_secs(5);
+/// From its first byte, and on a new connection from the accept, a request has so long to be whole.
+/// Guards against heads and bodies that don't end, trickle, or never begin; an honest client on a
+/// line slower than that would be turned away, but its request's time would be over as well.
+const TAKE: Duration = Duration::from_millis(2200);
+/// A connection whose request was not whole by then and could not be answered is closed.
+const TAKE_CLOSE: Duration = Duration::from_millis(2400);
+/// A connection on which nothing is asked for so long is closed: a client that comes again opens
+/// another, and those that never come again would hold descriptors and memory for good.
+const IDLE: Duration = Duration::from_millis(2500);
 /// How long a closed connection is still read, so that its last answer arrives.
 const LINGER: Duration = Duration::from_millis(500);
 /// When no connection could make room, how soon another look is taken.
 const EVICT_AGAIN: Duration = Duration::from_millis(10);
 /// The longest that a client may wait, an hour: more is no deadline.
 const EXPIRES_MAX_MS: i64 = 3_600_000;
-/// Unit in which bodies draw on the budget.
-const UNIT: usize = 64 << 10;
+/// What each body may hold without drawing on the budget.
+const BODY_FREE: usize = 8 << 10;
 
 // ---------------------------------------------------------------- connections
 
@@ -76,9 +77,11 @@
 struct Client {
     wire: Rc<Wire>,
     phase: Cell<Phase>,
+    /// When it came to its phase.
     since: Cell<Instant>,
-    /// Its present answer broke off.
-    broken: Cell<bool>,
+    /// When its present request began to come.
+    begun: Cell<Instant>,
+    lengths: Lengths,
     close: Cell<Option<Close>>,
     wake: Notify,
 }
@@ -89,10 +92,18 @@
         self.since.set(Instant::now());
     }
 
-    fn heard(&self) {
-        if matches!(self.phase.get(), Phase::Fresh | Phase::Idle) {
-            self.turn(Phase::Reading);
+    fn heard(&self, bytes: &[u8]) {
+        match self.phase.get() {
+            Phase::Fresh => self.turn(Phase::Reading),
+            Phase::Idle => {
+                self.turn(Phase::Reading);
+                self.begun.set(self.since.get());
+                self.lengths.begin();
+            }
+            Phase::Busy => self.lengths.ahead.set(true),
+            Phase::Reading | Phase::Closing => {}
         }
+        self.lengths.scan(bytes);
     }
 
     fn end(&self, how: Close) {
@@ -109,12 +120,60 @@
     }
 }
 
+/// Whether a request's head may have named a length beside its transfer coding. hyper takes such a
+/// request as chunked and hides the length, as the RFC allows; but whoever goes by the length sees
+/// another request in the body. So the lines are looked at as they come. Guards against every order
+/// and spelling of the two; where requests come ahead of their turn, or a line of a chunked body
+/// looks like a length, an honest chunked request may be turned away.
+struct Lengths {
+    /// How much of the name the present line has matched; past its end if it can't match.
+    matched: Cell<usize>,
+    seen: Cell<bool>,
+    /// Bytes of the next request may have come with those of this one: they are never forgotten.
+    ahead: Cell<bool>,
+}
+
+impl Lengths {
+    const NAME: &[u8] = b"content-length";
+    const NO_MATCH: usize = usize::MAX;
+
+    fn new() -> Self {
+        Self { matched: Cell::new(0), seen: Cell::new(false), ahead: Cell::new(false) }
+    }
+
+    /// A request begins behind an answer.
+    fn begin(&self) {
+        if !self.ahead.get() {
+            self.matched.set(0);
+            self.seen.set(false);
+        }
+    }
+
+    fn scan(&self, bytes: &[u8]) {
+        for byte in bytes {
+            let at = self.matched.get();
+            if *byte == b'\n' {
+                self.matched.set(0);
+            } else if Self::NAME.get(at).is_some_and(|n| n.eq_ignore_ascii_case(byte)) {
+                self.matched.set(at + 1);
+                if at + 1 == Self::NAME.len() {
+                    self.seen.set(true);
+                }
+            } else {
+                self.matched.set(Self::NO_MATCH);
+            }
+        }
+    }
+}
+
 /// The listening side of the balancer.
 pub struct Frontend {
     node: Rc<Node>,
     clients: RefCell<FxHashMap<u64, Rc<Client>>>,
     slots: Arc<Semaphore>,
-    bodies: Budget,
+    /// Memory for request bodies past [`BODY_FREE`]; what is below is bounded by the number of
+    /// connections.
+    bodies: Arc<Semaphore>,
     draining: Cell<bool>,
     next: Cell<u64>,
 }
@@ -125,7 +184,7 @@
             node,
             clients: RefCell::default(),
             slots: Arc::new(Semaphore::new(most)),
-            bodies: Budget::new(bodies),
+            bodies: Arc::new(Semaphore::new(bodies)),
             draining: Cell::new(false),
             next: Cell::new(0),
         })
@@ -164,7 +223,8 @@
             wire: Wire::new(stream, slot),
             phase: Cell::new(Phase::Fresh),
             since: Cell::new(Instant::now()),
-            broken: Cell::new(false),
+            begun: Cell::new(Instant::now()),
+            lengths: Lengths::new(),
             close: Cell::new(None),
             wake: Notify::new(),
         });
@@ -174,21 +234,40 @@
         spawn_local(serve(listed, client));
     }
 
+    /// Closes what will be missed least: what is closing already, then what has said nothing for
+    /// longest. What has spoken and was not yet heard is spared where anything else is left.
     fn evict(&self) {
         let clients = self.clients.borrow();
+        let rank = |c: &Rc<Client>| {
+            let class = match c.phase.get() {
+                Phase::Closing => 0,
+                _ if !c.wire.has_input() => 1,
+                _ => 2,
+            };
+            (class, c.since.get())
+        };
         let spare =
             clients.values().filter(|c| c.is_spare() && c.close.get() != Some(Close::Evict));
-        if let Some(longest) = spare.min_by_key(|c| c.since.get()) {
+        if let Some(longest) = spare.min_by_key(|c| rank(c)) {
             longest.end(Close::Evict);
         }
     }
 
-    /// Ends connections whose head does not come.
+    /// Ends connections whose request does not come, or no more.
     pub fn sweep(&self) {
         for client in self.clients.borrow().values() {
-            let late = client.since.get().elapsed() > HEAD;
-            if client.phase.get() == Phase::Reading && late {
-                client.end(Close::Now);
+            match client.phase.get() {
+                Phase::Fresh | Phase::Reading if client.begun.get().elapsed() > TAKE_CLOSE => {
+                    client.end(Close::Now);
+                }
+                Phase::Idle
+                    if client.since.get().elapsed() > IDLE
+                        && client.is_spare()
+                        && !client.wire.has_input() =>
+                {
+                    client.end(Close::Gracefully);
+                }
+                _ => {}
             }
         }
     }
@@ -234,14 +313,16 @@
 async fn serve(listed: Listed, client: Rc<Client>) {
     let frontend = &listed.frontend;
     let hears = client.clone();
-    let io = Io { wire: client.wire.clone(), on_read: move || hears.heard() };
+    let io = Io { wire: client.wire.clone(), on_read: move |bytes: &[u8]| hears.heard(bytes) };
     let service = service_fn(|request| {
         let (frontend, client) = (frontend.clone(), client.clone());
         async move { Ok::<_, Infallible>(guarded(frontend, client, request).await) }
     });
     {
         let mut http = pin!(
-            http1::Builder::new().max_buf_size(SMALL).serve_connection(TokioIo::new(io), service)
+            http1::Builder::new()
+                .max_buf_size(HEAD_MAX)
+                .serve_connection(TokioIo::new(io), service)
         );
         loop {
             tokio::select! {
@@ -257,10 +338,7 @@
             }
         }
     }
-    if client.broken.get() {
-        // Framed by the connection's end or not, a broken answer must look broken.
-        client.wire.reset_on_close();
-    } else if client.close.get() != Some(Close::Evict) {
+    if client.close.get() != Some(Close::Evict) {
         client.turn(Phase::Closing);
         tokio::select! {
             () = client.wire.drain(LINGER) => {}
@@ -295,12 +373,12 @@
         response.headers_mut().insert(header::CONNECTION, value);
     }
     client.phase.set(Phase::Busy);
-    response.map(|source| Content { source, client })
+    response.map(|data| Content { data, client })
 }
 
 /// An answer, and whether its connection ends with it.
 struct Answer {
-    response: Response<Source>,
+    response: Response<Bytes>,
     close: bool,
 }
 
@@ -312,13 +390,13 @@
 }
 
 fn plain(status: StatusCode) -> Answer {
-    let mut response = Response::new(Source::Whole(Bytes::new()));
+    let mut response = Response::new(Bytes::new());
     *response.status_mut() = status;
     Answer { response, close: false }
 }
 
-fn served(headers: HeaderMap, source: Source) -> Answer {
-    let mut response = Response::new(source);
+fn served(headers: HeaderMap, body: Bytes) -> Answer {
+    let mut response = Response::new(body);
     *response.headers_mut() = headers;
     Answer { response, close: false }
 }
@@ -337,10 +415,16 @@
         // What follows on this connection may be out of step with it.
         Err(status) => return plain(status).closing(),
     };
-    let mut budget = Vec::new();
-    let body = match read_body(&frontend.bodies, client, body, &mut budget).await {
-        Ok(body) => body,
-        Err(status) => return plain(status).closing(),
+    if head.headers.contains_key(header::TRANSFER_ENCODING) && client.lengths.seen.get() {
+        return plain(StatusCode::BAD_REQUEST).closing();
+    }
+    let mut budget = None;
+    let whole =
+        timeout_at(client.begun.get() + TAKE, read_body(&frontend.bodies, body, &mut budget));
+    let body = match whole.await {
+        Ok(Ok(body)) => body,
+        Ok(Err(status)) => return plain(status).closing(),
+        Err(_) => return plain(StatusCode::REQUEST_TIMEOUT).closing(),
     };
     // It counts from its last byte, also where that came behind another request.
     let arrived = node.clock.at(client.wire.read_at.get());
@@ -350,14 +434,15 @@
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
     let message = Message { method: head.method, uri, headers, body, _budget: budget };
-    let Some((taken, reply)) = node.request(asked, message) else {
-        return plain(StatusCode::SERVICE_UNAVAILABLE);
+    let (taken, reply) = match node.request(asked, message) {
+        Ok(taken) => taken,
+        Err(Turned::TooMany) => return plain(StatusCode::SERVICE_UNAVAILABLE),
+        Err(Turned::SameId) => return plain(StatusCode::CONFLICT).closing(),
     };
     let reply = reply.await;
     drop::<Taken>(taken);
     match reply {
-        Ok(Reply::Served(headers, body)) => served(headers, Source::Whole(body)),
-        Ok(Reply::Streaming(headers, parts)) => served(headers, Source::Streaming(parts)),
+        Ok(Reply::Served(headers, body)) => served(headers, body),
         Ok(Reply::Refused(advice)) => {
             let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
             if let Some(advice) = advice {
@@ -454,137 +539,61 @@
 
 // ---------------------------------------------------------------- bodies of requests
 
-/// Memory for request bodies past [`SMALL`]; smaller ones are bounded by the number of clients.
-struct Budget {
-    shared: Arc<Semaphore>,
-    /// Room for one body of any size. Without it, many half-read bodies could hold all the room
-    /// that each of them waits for.
-    reserve: Arc<Semaphore>,
-}
-
-impl Budget {
-    fn new(bytes: usize) -> Self {
-        let semaphore = |n| Arc::new(Semaphore::new(n));
-        Self { shared: semaphore(bytes / UNIT), reserve: semaphore(1) }
-    }
-}
-
-/// Reads a body whole. `budget` comes to hold what it draws.
+/// Reads a body whole. `budget` comes to hold what it draws: all that it may need at once, so that
+/// bodies that wait for room hold none that others wait for.
 async fn read_body(
-    room: &Budget,
-    client: &Client,
+    room: &Arc<Semaphore>,
     mut body: Incoming,
-    budget: &mut Vec<OwnedSemaphorePermit>,
-) -> Result<Vec<Bytes>, StatusCode> {
-    let declared = body.size_hint().exact();
-    if declared.is_some_and(|n| n > BODY_MAX as u64) {
+    budget: &mut Option<OwnedSemaphorePermit>,
+) -> Result<Bytes, StatusCode> {
+    let declared = body.size_hint().exact().unwrap_or(BODY_MAX as u64);
+    if declared > BODY_MAX as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let begun = Instant::now();
-    let mut waited = Duration::ZERO;
-    let (mut size, mut drawn, mut reserved) = (0, SMALL, false);
-    let mut full: Vec<Bytes> = Vec::new();
-    let mut segment = BytesMut::with_capacity(declared.map_or(0, |n| n.min(UNIT as u64)) as usize);
-    loop {
-        let Ok(frame) = timeout(BODY_GRACE, body.frame()).await else {
-            return Err(StatusCode::REQUEST_TIMEOUT);
-        };
-        let Some(frame) = frame else { break };
+    if declared > BODY_FREE as u64 {
+        *budget = room.clone().acquire_many_owned(declared as u32).await.ok();
+    }
+    // Copied together: pieces of a few bytes would each hold a buffer of their own.
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() else { continue };
-        client.since.set(Instant::now());
-        size += data.len();
-        if size > BODY_MAX {
+        if whole.len() + data.len() > BODY_MAX {
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
-        let reading = begun.elapsed().saturating_sub(waited);
-        if reading > BODY_GRACE && (size as f64) < BODY_RATE * reading.as_secs_f64() {
-            return Err(StatusCode::REQUEST_TIMEOUT);
-        }
-        while size > drawn && !reserved {
-            let start = Instant::now();
-            let got = timeout(ROOM_WAIT, async {
-                tokio::select! {
-                    biased;
-                    unit = room.shared.clone().acquire_owned() => (unit, false),
-                    all = room.reserve.clone().acquire_owned() => (all, true),
-                }
-            });
-            // Nothing of it was sent on: coming again is harmless.
-            let Ok((Ok(permit), all)) = got.await else {
-                return Err(StatusCode::SERVICE_UNAVAILABLE);
-            };
-            waited += start.elapsed();
-            budget.push(permit);
-            drawn += UNIT;
-            reserved = all;
-        }
-        // Copied together: pieces of a few bytes would each hold a buffer of their own.
-        let mut rest = &data[..];
-        while !rest.is_empty() {
-            if segment.len() == UNIT {
-                full.push(std::mem::take(&mut segment).freeze());
-            }
-            let n = rest.len().min(UNIT - segment.len());
-            segment.extend_from_slice(&rest[..n]);
-            rest = &rest[n..];
+        if whole.is_empty() {
+            whole.reserve(declared.min(BODY_FREE as u64).max(data.len() as u64) as usize);
         }
+        whole.extend_from_slice(&data);
     }
-    if !segment.is_empty() {
-        full.push(segment.freeze());
-    }
-    Ok(full)
+    Ok(whole.freeze())
 }
 
 // ---------------------------------------------------------------- bodies of answers
 
-enum Source {
-    Whole(Bytes),
-    Streaming(mpsc::Receiver<Part>),
-}
-
 /// An answer's body on its way to the client.
 struct Content {
-    source: Source,
+    data: Bytes,
     client: Rc<Client>,
 }
 
-/// The upstream broke off an answer that had begun to be passed on.
-#[derive(Debug, thiserror::Error)]
-#[error("the upstream broke off its answer")]
-struct Broken;
-
 impl Body for Content {
     type Data = Bytes;
-    type Error = Broken;
+    type Error = Infallible;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        let me = &mut *self;
-        match &mut me.source {
-            Source::Whole(data) if data.is_empty() => Poll::Ready(None),
-            Source::Whole(data) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(data))))),
-            Source::Streaming(parts) => parts.poll_recv(cx).map(|part| match part {
-                Some(Part::Data(data)) => Some(Ok(Frame::data(data))),
-                Some(Part::Last) => None,
-                None => {
-                    me.client.broken.set(true);
-                    Some(Err(Broken))
-                }
-            }),
-        }
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let data = std::mem::take(&mut self.data);
+        Poll::Ready((!data.is_empty()).then(|| Ok(Frame::data(data))))
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(&self.source, Source::Whole(data) if data.is_empty())
+        self.data.is_empty()
     }
 
     fn size_hint(&self) -> SizeHint {
-        match &self.source {
-            Source::Whole(data) => SizeHint::with_exact(data.len() as u64),
-            Source::Streaming(_) => SizeHint::default(),
-        }
+        SizeHint::with_exact(self.data.len() as u64)
     }
 }
 
--- a/src/bin/latchfront/node.rs
+++ b/src/bin/latchfront/node.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Uri};
 use petreltack::decide::Balancer;
 use petreltack::settings::{Facts, Reports, span, stable_hash, time};
@@ -14,8 +15,8 @@
     Action, Answer, ListKind, Member, Outcome, Report, Request, RequestId, ServerId, Span, Status,
     Time,
 };
-use rustc_hash::FxHashMap;
-use tokio::sync::{Notify, OwnedSemaphorePermit, mpsc, oneshot};
+use rustc_hash::{FxHashMap, FxHashSet};
+use tokio::sync::{Notify, OwnedSemaphorePermit, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
@@ -58,9 +59,16 @@
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Vec<Bytes>,
+    pub body: Bytes,
     /// What the body holds of the budget for large ones.
-    pub _budget: Vec<OwnedSemaphorePermit>,
+    pub _budget: Option<OwnedSemaphorePermit>,
+}
+
+impl Message {
+    fn trace_id(&self) -> &HeaderValue {
+        static NONE: HeaderValue = HeaderValue::from_static("");
+        self.headers.get("x-trace-id").unwrap_or(&NONE)
+    }
 }
 
 /// What the module is told of a request beside its time.
@@ -74,17 +82,16 @@
 /// The final answer to a request.
 pub enum Reply {
     Served(HeaderMap, Bytes),
-    /// Its first bytes have come; the rest follows. An error, or an end with no `Last`, means
-    /// that the upstream broke off.
-    Streaming(HeaderMap, mpsc::Receiver<Part>),
     Refused(Option<Duration>),
     Failed,
 }
 
-/// A piece of a long answer.
-pub enum Part {
-    Data(Bytes),
-    Last,
+/// Why a request is not taken.
+pub enum Turned {
+    /// Too many are open.
+    TooMany,
+    /// Its id is another's that is open.
+    SameId,
 }
 
 /// An open request.
@@ -119,14 +126,19 @@
 struct Upstream {
     name: Box<str>,
     address: SocketAddr,
+    /// Not gone.
+    listed: bool,
 }
 
 struct State {
     balancer: Balancer,
     jobs: FxHashMap<RequestId, Rc<Job>>,
     next_id: u64,
-    upstreams: Vec<Upstream>,
+    /// The ids of the jobs, as clients named them.
+    trace_ids: FxHashSet<HeaderValue>,
+    upstreams: FxHashMap<ServerId, Upstream>,
     by_name: FxHashMap<Box<str>, ServerId>,
+    next_upstream: u32,
     revision: Option<u64>,
     /// The running watch of discovery, if there is one.
     watch: Option<Task>,
@@ -151,8 +163,10 @@
             balancer,
             jobs: FxHashMap::default(),
             next_id: 0,
-            upstreams: Vec::new(),
+            trace_ids: FxHashSet::default(),
+            upstreams: FxHashMap::default(),
             by_name: FxHashMap::default(),
+            next_upstream: 0,
             revision: None,
             watch: None,
         };
@@ -212,12 +226,13 @@
         match action {
             Action::Send { request, server, timeout } => {
                 let Some(job) = state.jobs.get(&request) else { return };
+                let Some(upstream) = state.upstreams.get(&server) else { return };
                 let limit = job.drop_dead;
                 let until = if timeout.0 == 0 { limit } else { limit.min(now.plus(timeout)) };
                 let attempt = Rc::new(Attempt {
                     number: job.attempts.borrow().len(),
                     server,
-                    to: state.upstreams[server.0 as usize].address,
+                    to: upstream.address,
                     sent: self.clock.instant(now),
                     until: self.clock.instant(until),
                     cancel: Notify::new(),
@@ -248,8 +263,9 @@
                 });
             }
             Action::Probe { server } => {
-                if self.facts.policy_limits.probes {
-                    let to = state.upstreams[server.0 as usize].address;
+                let upstream = state.upstreams.get(&server);
+                if let Some(upstream) = upstream.filter(|_| self.facts.policy_limits.probes) {
+                    let to = upstream.address;
                     spawn_local(upstream::probe(self.clone(), server, to));
                 }
             }
@@ -273,25 +289,32 @@
 
     /// Drops a request that is over and has no attempt out.
     fn forget(state: &mut State, id: RequestId) {
-        if state.jobs.get(&id).is_some_and(|job| job.is_over() && job.out.get() == 0) {
-            state.jobs.remove(&id);
+        if state.jobs.get(&id).is_some_and(|job| job.is_over() && job.out.get() == 0)
+            && let Some(job) = state.jobs.remove(&id)
+        {
+            state.trace_ids.remove(job.message.trace_id());
         }
     }
 
     // ------------------------------------------------------------ what clients do
 
-    /// Takes a request. `None`: too many are open.
+    /// Takes a request.
     pub fn request(
         self: &Rc<Self>,
         asked: Asked,
         message: Message,
-    ) -> Option<(Taken, oneshot::Receiver<Reply>)> {
+    ) -> Result<(Taken, oneshot::Receiver<Reply>), Turned> {
         let (sender, receiver) = oneshot::channel();
         let id = {
             let mut state = self.state.borrow_mut();
             let most = self.facts.policy_limits.max_open;
             if most > 0 && state.jobs.len() >= most {
-                return None;
+                return Err(Turned::TooMany);
+            }
+            // Whoever goes by the id would take the two for one: an answer, a repeat or a reset
+            // of one for the other's. Also while an attempt of a request that is over is out.
+            if !state.trace_ids.insert(message.trace_id().clone()) {
+                return Err(Turned::SameId);
             }
             let id = RequestId(state.next_id);
             state.next_id += 1;
@@ -310,7 +333,7 @@
         let Asked { class, tenant, key, drop_dead } = asked;
         let request = Request { id, class, tenant, key, drop_dead };
         self.tell(|balancer, now, out| balancer.request(now, request, out));
-        Some((Taken { node: self.clone(), id }, receiver))
+        Ok((Taken { node: self.clone(), id }, receiver))
     }
 
     /// Requests that are taken and not over.
@@ -320,12 +343,6 @@
 
     // ------------------------------------------------------------ what upstreams do
 
-    /// The answer has begun and is passed on from now on.
-    pub fn stream(self: &Rc<Self>, job: &Job, head: HeaderMap, rest: mpsc::Receiver<Part>) {
-        self.tell(|balancer, now, out| balancer.stream_started(now, job.id, out));
-        self.answer(&mut self.state.borrow_mut(), job.id, Reply::Streaming(head, rest));
-    }
-
     fn outcome(self: &Rc<Self>, job: &Job, attempt: &Attempt, end: End) {
         let id = job.id;
         job.out.set(job.out.get() - 1);
@@ -388,6 +405,13 @@
         let members: Vec<Member> = {
             let mut state = self.state.borrow_mut();
             state.revision = revision.or(state.revision);
+            if kind != ListKind::Update {
+                // What a whole list leaves out is gone.
+                for (id, upstream) in &mut state.upstreams {
+                    upstream.listed = false;
+                    self.pool.retire(*id, true);
+                }
+            }
             entries.iter().map(|entry| self.member(&mut state, entry)).collect()
         };
         // Idle connections to an upstream that drains only hold up its end.
@@ -395,16 +419,33 @@
             self.pool.retire(member.id, member.status != Status::Live);
         }
         self.tell(|balancer, now, out| balancer.members(now, kind, &members, out));
+        self.forget_gone();
+    }
+
+    /// Forgets the upstreams that are gone and that the module has forgotten: over a long run ever
+    /// new ones come, and what is kept of each would only grow.
+    fn forget_gone(&self) {
+        let state = &mut *self.state.borrow_mut();
+        state.upstreams.retain(|id, upstream| {
+            let keep = upstream.listed || state.balancer.knows(*id);
+            if !keep {
+                state.by_name.remove(&upstream.name);
+                self.pool.forget(*id);
+            }
+            keep
+        });
     }
 
     fn member(&self, state: &mut State, entry: &Entry) -> Member {
-        let fresh = ServerId(state.upstreams.len() as u32);
+        let fresh = ServerId(state.next_upstream);
         let name = || -> Box<str> { entry.id.as_str().into() };
         let id = *state.by_name.entry(name()).or_insert(fresh);
         if id == fresh {
-            state.upstreams.push(Upstream { name: name(), address: entry.host_port });
+            state.next_upstream += 1;
         }
-        let upstream = &mut state.upstreams[id.0 as usize];
+        let new = || Upstream { name: name(), address: entry.host_port, listed: true };
+        let upstream = state.upstreams.entry(id).or_insert_with(new);
+        upstream.listed = entry.phase != "DELETED";
         if upstream.address != entry.host_port {
             upstream.address = entry.host_port;
             self.pool.close(id);
--- a/src/bin/latchfront/upstream.rs
+++ b/src/bin/latchfront/upstream.rs
@@ -22,13 +22,13 @@
 use petreltack::types::{Outcome, Report, ServerId};
 use rustc_hash::FxHashSet;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
-use crate::config::SMALL;
+use crate::config::{BODY_MAX, HEAD_MAX};
 use crate::frontend::strip_hop_by_hop;
-use crate::node::{End, Job, Message, Node, Part, Pending};
+use crate::node::{End, Message, Node, Pending};
 use crate::wire::{Io, Task, Wire};
 
 /// Part of the time after which upstreams close idle connections: some close sooner.
@@ -38,8 +38,6 @@
 /// How long the rest of an answer that is not passed on may take before its connection is
 /// closed instead of kept.
 const REST: Duration = Duration::from_secs(1);
-/// A long answer that does not move for so long is given up, on either side.
-const STALL: Duration = Duration::from_secs(15);
 /// How long a probe may take.
 const PROBE: Duration = Duration::from_secs(1);
 
@@ -47,7 +45,7 @@
 
 /// A connection to an upstream.
 struct Conn {
-    sender: SendRequest<Segments>,
+    sender: SendRequest<Whole>,
     wire: Rc<Wire>,
     rested: Instant,
     _driver: Task,
@@ -120,8 +118,18 @@
         None
     }
 
+    /// Notes nothing more of an upstream.
+    pub fn forget(&self, server: ServerId) {
+        self.retired.borrow_mut().remove(&server);
+        self.close(server);
+    }
+
+    fn is_retired(&self, server: ServerId) -> bool {
+        self.retired.borrow().contains(&server)
+    }
+
     fn put(&self, server: ServerId, mut conn: Conn) {
-        if self.retired.borrow().contains(&server) {
+        if self.is_retired(server) {
             return;
         }
         conn.rested = Instant::now();
@@ -142,17 +150,17 @@
         let slot = timeout_at(end, self.slot()).await.ok()??;
         let stream = timeout_at(end, TcpStream::connect(to)).await.ok()?.ok()?;
         let wire = Wire::new(stream, slot);
-        let io = TokioIo::new(Io { wire: wire.clone(), on_read: || () });
+        let io = TokioIo::new(Io { wire: wire.clone(), on_read: |_: &[u8]| () });
         let (sender, connection) =
-            http1::Builder::new().max_buf_size(SMALL).handshake(io).await.ok()?;
+            http1::Builder::new().max_buf_size(HEAD_MAX).handshake(io).await.ok()?;
         Some(Conn { sender, wire, rested: Instant::now(), _driver: Task::spawn(connection) })
     }
 }
 
 /// A request's body, sent again from the start by each attempt.
-struct Segments(VecDeque<Bytes>);
+struct Whole(Bytes);
 
-impl Body for Segments {
+impl Body for Whole {
     type Data = Bytes;
     type Error = Infallible;
 
@@ -160,7 +168,8 @@
         mut self: Pin<&mut Self>,
         _: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        Poll::Ready(self.0.pop_front().map(|data| Ok(Frame::data(data))))
+        let data = std::mem::take(&mut self.0);
+        Poll::Ready((!data.is_empty()).then(|| Ok(Frame::data(data))))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -168,13 +177,13 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.0.iter().map(|b| b.len() as u64).sum())
+        SizeHint::with_exact(self.0.len() as u64)
     }
 }
 
 /// The request as hyper will write it, and how many bytes that makes.
-fn request(message: &Message, left: Duration) -> (Request<Segments>, u64) {
-    let body = Segments(message.body.iter().cloned().collect());
+fn request(message: &Message, left: Duration) -> (Request<Whole>, u64) {
+    let body = Whole(message.body.clone());
     let length = body.size_hint().exact().unwrap_or(0);
     let mut headers = message.headers.clone();
     headers.insert("x-expires-in-ms", (left.as_millis() as u64).max(1).into());
@@ -197,8 +206,6 @@
 enum Came {
     Nothing(Outcome, Report),
     Whole(HeaderMap, Bytes, Report),
-    /// The first bytes of a long answer.
-    Long(HeaderMap, Bytes, Incoming, Conn, Report),
 }
 
 /// The connection on which an attempt's bytes went out last.
@@ -213,7 +220,7 @@
 
 /// Carries out one attempt, to its one outcome.
 pub async fn attempt(pending: Pending) {
-    let (node, job, attempt) = (&pending.node, &pending.job, &pending.attempt);
+    let (job, attempt) = (&pending.job, &pending.attempt);
     let link = Link::default();
     let ended = async {
         job.ended.notified().await;
@@ -245,11 +252,6 @@
         Came::Whole(head, body, report) => {
             End { outcome: Outcome::Ok, latency, report, served: Some((head, body)) }
         }
-        Came::Long(head, first, body, conn, report) => {
-            drop(link);
-            let outcome = pass_on(node, job, attempt.server, head, first, body, conn).await;
-            End { outcome, latency, report, served: None }
-        }
     };
     pending.end(end);
 }
@@ -269,12 +271,15 @@
             None => node.pool.connect(attempt.to).await,
         };
         let Some(mut conn) = conn else { return nothing(Outcome::ConnectFailed) };
-        if job.is_over() {
+        // A connection may come up long after the send was decided.
+        if job.is_over() || node.pool.is_retired(attempt.server) {
             return nothing(Outcome::Moot);
         }
         let left = attempt.until.saturating_duration_since(Instant::now());
         let (request, bytes) = request(&job.message, left);
-        conn.wire.begin(bytes, reused.then_some(HOLD));
+        // What is safe to repeat needs no proof that it never ran, and is not slowed down for one.
+        let hold = reused && !job.message.method.is_safe();
+        conn.wire.begin(bytes, hold.then_some(HOLD));
         *link.0.borrow_mut() = Some(conn.wire.clone());
         let answer = match conn.sender.send_request(request).await {
             Ok(answer) => answer,
@@ -317,18 +322,18 @@
     }
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
-    let long = body.size_hint().exact().is_some_and(|n| n > SMALL as u64);
+    // The protocol has no longer answers: whoever announces or sends one has lost the thread.
+    if body.size_hint().exact().is_some_and(|n| n > BODY_MAX as u64) {
+        return Came::Nothing(Outcome::Error, report);
+    }
     let mut held = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return Came::Nothing(Outcome::Reset, report) };
         let Ok(data) = frame.into_data() else { continue };
-        if long && !data.is_empty() {
-            return Came::Long(headers, data, body, conn, report);
+        if held.len() + data.len() > BODY_MAX {
+            return Came::Nothing(Outcome::Error, report);
         }
         held.extend_from_slice(&data);
-        if held.len() > SMALL {
-            return Came::Long(headers, held.freeze(), body, conn, report);
-        }
     }
     node.pool.put(server, conn);
     Came::Whole(headers, held.freeze(), report)
@@ -336,7 +341,7 @@
 
 /// Reads a short body to its end, so that its connection can be used again.
 async fn discard(body: &mut Incoming) -> bool {
-    let mut left = SMALL;
+    let mut left = BODY_MAX;
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return false };
         let size = frame.data_ref().map_or(0, |d| d.len());
@@ -348,41 +353,6 @@
     true
 }
 
-/// Passes on a long answer, as fast as its client takes it.
-async fn pass_on(
-    node: &Rc<Node>,
-    job: &Job,
-    server: ServerId,
-    head: HeaderMap,
-    first: Bytes,
-    mut body: Incoming,
-    conn: Conn,
-) -> Outcome {
-    if job.is_over() {
-        return Outcome::Cancelled;
-    }
-    let (client, rest) = mpsc::channel(1);
-    node.stream(job, head, rest);
-    let mut part = Part::Data(first);
-    loop {
-        let last = matches!(part, Part::Last);
-        // The client has left, or takes nothing any more.
-        let Ok(Ok(())) = timeout(STALL, client.send(part)).await else {
-            return Outcome::Cancelled;
-        };
-        if last {
-            node.pool.put(server, conn);
-            return Outcome::Ok;
-        }
-        part = match timeout(STALL, body.frame()).await {
-            Ok(Some(Ok(frame))) => Part::Data(frame.into_data().unwrap_or_default()),
-            Ok(None) => Part::Last,
-            // Dropping `client` with no `Last` tells the other end that it is broken.
-            Ok(Some(Err(_))) | Err(_) => return Outcome::Reset,
-        };
-    }
-}
-
 // ---------------------------------------------------------------- probes
 
 /// Examines an upstream.
@@ -393,13 +363,14 @@
             Some(conn) => conn,
             None => node.pool.connect(to).await?,
         };
-        let mut request = Request::new(Segments(VecDeque::new()));
+        let mut request = Request::new(Whole(Bytes::new()));
         *request.uri_mut() = hyper::Uri::from_static(node.probe_path());
         let host = to.to_string().parse().ok()?;
         request.headers_mut().insert(header::HOST, host);
         conn.wire.begin(0, None);
         let (head, body) = conn.sender.send_request(request).await.ok()?.into_parts();
-        let mut text = http_body_util::Limited::new(body, SMALL).collect().await.ok()?.to_bytes();
+        let mut text =
+            http_body_util::Limited::new(body, BODY_MAX).collect().await.ok()?.to_bytes();
         node.pool.put(server, conn);
         if node.facts.stats.how == Reports::Silent {
             text.clear();
--- a/src/bin/latchfront/wire.rs
+++ b/src/bin/latchfront/wire.rs
@@ -15,6 +15,9 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, Sleep, sleep};
 
+/// Most bytes that are taken in on a connection after its end was told.
+const DRAIN_MAX: usize = 256 << 10;
+
 /// What is known of one connection, shared by hyper's side and ours.
 pub struct Wire {
     stream: TcpStream,
@@ -85,21 +88,21 @@
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Both);
     }
 
-    /// Makes the close a reset, so that the peer can tell a broken answer from a whole one.
-    pub fn reset_on_close(&self) {
-        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
-    }
-
     /// Ends our direction and takes in what the peer still sends, for a while: closing with
-    /// unread bytes would send a reset, and the reset would eat an answer on its way.
+    /// unread bytes would send a reset, and the reset would eat an answer on its way. A peer that
+    /// goes on sending whatever it was told gets the reset: reading it all would cost the others.
     pub async fn drain(&self, at_most: Duration) {
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
         let rest = async {
             let mut scratch = [0; 4096];
-            while self.stream.readable().await.is_ok() {
+            let mut left = DRAIN_MAX;
+            while left > 0 && self.stream.readable().await.is_ok() {
                 match self.stream.try_read(&mut scratch) {
                     Ok(0) => return,
-                    Ok(_) => tokio::task::yield_now().await,
+                    Ok(n) => {
+                        left = left.saturating_sub(n);
+                        tokio::task::yield_now().await;
+                    }
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                     Err(_) => return,
                 }
@@ -115,7 +118,7 @@
     pub on_read: F,
 }
 
-impl<F: Fn() + Unpin> AsyncRead for Io<F> {
+impl<F: Fn(&[u8]) + Unpin> AsyncRead for Io<F> {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -124,11 +127,12 @@
         let wire = &self.wire;
         loop {
             ready!(wire.stream.poll_read_ready(cx))?;
+            let before = buf.filled().len();
             match wire.stream.try_read_buf(buf) {
                 Ok(n) => {
                     if n > 0 {
                         wire.read_at.set(Instant::now());
-                        (self.on_read)();
+                        (self.on_read)(&buf.filled()[before..]);
                     }
                     return Poll::Ready(Ok(()));
                 }
@@ -139,7 +143,7 @@
     }
 }
 
-impl<F: Fn() + Unpin> AsyncWrite for Io<F> {
+impl<F: Fn(&[u8]) + Unpin> AsyncWrite for Io<F> {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -215,6 +215,8 @@
     rng: Rand64,
     servers: Vec<Server>,
     by_id: FxHashMap<ServerId, usize>,
+    /// Places in `servers` of upstreams that are forgotten, for those that come.
+    vacant: Vec<usize>,
     requests: FxHashMap<RequestId, Entry>,
     queue: VecDeque<RequestId>,
     in_flight: usize,
@@ -945,6 +947,7 @@
             rng: Rand64::new(u128::from(seed)),
             servers: Vec::new(),
             by_id: FxHashMap::default(),
+            vacant: Vec::new(),
             requests: FxHashMap::default(),
             queue: VecDeque::new(),
             in_flight: 0,
@@ -1038,13 +1041,42 @@
         self.relist_warm(now, &before);
         self.refresh(now);
         self.dispatch(now, out);
+        self.forget_gone();
+    }
+
+    /// Whether this upstream is on the list or something of it is still under way.
+    pub fn knows(&self, id: ServerId) -> bool {
+        self.by_id.contains_key(&id)
+    }
+
+    /// Gives up the places of upstreams that are gone. Failure: where upstreams are replaced all
+    /// day, each call looked at every one that had ever been. One that has a request out, may
+    /// still work on one or has failed one that is still open keeps its place until a later list.
+    fn forget_gone(&mut self) {
+        let (servers, requests) = (&mut self.servers, &self.requests);
+        let vacant = &mut self.vacant;
+        self.by_id.retain(|_, &mut i| {
+            let s = &mut servers[i];
+            let tried = |e: &Entry| e.attempts.iter().any(|a| a.server == i);
+            if s.status != Status::Gone || s.in_flight > 0 || requests.values().any(tried) {
+                return true;
+            }
+            s.est = Estimate::NONE;
+            vacant.push(i);
+            false
+        });
+        // The order of a hash map is nobody's choice.
+        vacant.sort_unstable_by(|a, b| b.cmp(a));
     }
 
     fn member(&mut self, now: Time, m: &Member) {
-        let fresh = self.servers.len();
-        let i = *self.by_id.entry(m.id).or_insert(fresh);
-        if i == fresh {
-            self.servers.push(Server {
+        if m.status == Status::Gone && !self.knows(m.id) {
+            return;
+        }
+        let i = self.by_id.get(&m.id).copied().unwrap_or_else(|| {
+            let i = self.vacant.pop().unwrap_or(self.servers.len());
+            self.by_id.insert(m.id, i);
+            let fresh = Server {
                 id: m.id,
                 zone: m.zone,
                 kind: m.kind,
@@ -1058,8 +1090,14 @@
                 setbacks: 0,
                 est: Estimate::NONE,
                 tokens: Tokens { left: 0.0, at: now },
-            });
-        }
+            };
+            if i == self.servers.len() {
+                self.servers.push(fresh);
+            } else {
+                self.servers[i] = fresh;
+            }
+            i
+        });
         // Spread over the bank: a random part of the first send is already earned.
         let head_start = self.rng.rand_float();
         let s = &mut self.servers[i];
--- a/tests/sockets/bad_input.rs
+++ b/tests/sockets/bad_input.rs
@@ -105,6 +105,81 @@
     assert_eq!(came.recv_timeout(LONG).expect("a request").id(), "good", "nothing else was sent");
 }
 
+/// A head with these framing lines, and a body that hides a request behind an empty chunk.
+fn smuggled(id: &str, framing: &[&str]) -> String {
+    let hidden = format!("0\r\n\r\n{}", post("pay", "hidden", "", "x"));
+    let head = post("pay", id, "", "").replace("Content-Length: 0\r\n\r\n", "");
+    let lines: String = framing.iter().map(|line| format!("{line}\r\n")).collect();
+    format!("{head}{}\r\n{hidden}", lines.replace("{}", &hidden.len().to_string()))
+}
+
+#[test]
+fn a_length_beside_a_transfer_coding_is_turned_away_in_any_order() {
+    let (upstream, came) = Peer::serving();
+    let balancer = Balancer::before(&[&upstream]);
+    let (length, coding) = ("Content-Length: {}", "Transfer-Encoding: chunked");
+    for framing in [
+        [length, coding],
+        [coding, length],
+        ["CONTENT-LENGTH: {}", "transfer-encoding: chunked"],
+        [coding, "content-length: 0"],
+    ] {
+        // As the first on its connection, behind another, and ahead of its turn.
+        let bad = smuggled("bad", &framing);
+        for (ahead, answers) in
+            [("", 0), (&*read("good", ""), 1), (&*post("pay", "good", "", "x"), 1)]
+        {
+            for at_once in [false, true] {
+                let mut client = balancer.client();
+                if at_once {
+                    client.write(format!("{ahead}{bad}"));
+                } else {
+                    client.write(ahead);
+                }
+                for _ in 0..answers {
+                    assert_eq!(client.message().expect("an answer").status(), 200);
+                    assert_eq!(came.recv_timeout(LONG).expect("a request").id(), "good");
+                }
+                if !at_once {
+                    client.write(&bad);
+                }
+                assert_eq!(client.message().expect("an answer").status(), 400, "{framing:?}");
+                client.await_end();
+            }
+        }
+    }
+    // A chunked request alone is welcome, also behind one with a length.
+    let mut client = balancer.client();
+    client.write(post("pay", "good", "", "x"));
+    assert_eq!(client.message().expect("an answer").status(), 200);
+    let chunked = post("pay", "chunked", "", "")
+        .replace("Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n");
+    client.write(format!("{chunked}1\r\nx\r\n0\r\n\r\n"));
+    assert_eq!(client.message().expect("an answer").status(), 200);
+    assert!(came.try_iter().all(|m| m.id() != "bad" && m.id() != "hidden"));
+}
+
+#[test]
+fn the_id_of_another_open_request_is_turned_away() {
+    let (go, wait) = std::sync::mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let (upstream, came) = Peer::upstream(move |_, message, conn| {
+        let _ = wait.lock().expect("unpoisoned").recv();
+        conn.write(ok(message.id()));
+        true
+    });
+    let balancer = Balancer::before(&[&upstream]);
+    let mut owner = balancer.client();
+    owner.write(post("pay", "same", "", "x"));
+    assert_eq!(came.recv_timeout(LONG).expect("a request").id(), "same");
+    assert_eq!(balancer.ask(read("same", "")).status(), 409);
+    go.send(()).expect("an upstream");
+    assert_eq!(owner.message().expect("an answer").body, b"same");
+    go.send(()).expect("an upstream");
+    assert_eq!(balancer.ask(read("same", "")).status(), 200, "free again");
+    assert_eq!(came.try_iter().count(), 1);
+}
+
 #[test]
 fn a_list_with_odd_entries_is_used_without_them() {
     let (upstream, _came) = Peer::serving();
--- a/tests/sockets/discovery.rs
+++ b/tests/sockets/discovery.rs
@@ -101,3 +101,25 @@
         assert!(call.contains("after=1&"), "the version has not been reached: {call}");
     }
 }
+
+#[test]
+fn upstreams_that_are_gone_are_forgotten_and_new_ones_at_their_address_used() {
+    let discovery = Discovery::start();
+    let (at, came) = Peer::serving();
+    let balancer = Balancer::start(asking(&discovery, &[], "subscribe"));
+    // Replaced again and again: each new one is at the address of one that has gone.
+    let mut before = None;
+    for i in 0..50 {
+        let mut changes = vec![entry(&format!("s-{}", i + 1), at.address, "SERVING")];
+        changes.extend(before.map(|b: String| entry(&b, at.address, "DELETED")));
+        before = Some(format!("s-{}", i + 1));
+        discovery.call().1.send(Told::Whole(list(i + 2, false, &changes))).expect("a call");
+        assert_eq!(balancer.ask(post("pay", &i.to_string(), "", "x")).status(), 200);
+    }
+    assert!(came.try_iter().map(|m| m.id().to_string()).eq((0..50).map(|i| i.to_string())));
+    // A whole list closes the connections to what it leaves out.
+    discovery.call().1.send(Told::Whole(list(99, true, &[]))).expect("a call");
+    eventually("nothing is sent any more", || {
+        balancer.ask(read("z", "").replace("2500", "500")).status() == 503
+    });
+}
