Tell a refused client when to come back

decide.rs gave every refusal a Retry-After of zero, so none was sent though the settings allow it. A closer for clients that take no answers was tried and left out: its test passed without it, so such clients are let go already.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -41,6 +41,8 @@
 const QUICK_OF_TS: f64 = 0.25;
 /// Most doublings of the pause: some thirty service times between trials of a dead upstream.
 const PAUSE_DOUBLINGS: u32 = 6;
+/// A refused client is told to come back no sooner than after this share of the mean service time.
+const COME_BACK_OF_TS: f64 = 0.5;
 /// Share of the aim that queue and service may take for a request to be admitted: the rest
 /// is for the spread of service times.
 const HOLD_OF_AIM: f64 = 0.7;
@@ -573,13 +575,18 @@
     /// all, the wait that even the tightest class can bear, or long aims would fill the queue
     /// and starve short ones; classes worth less for their work get a smaller part of it.
     fn admits(&self, class: usize, in_full: bool) -> bool {
-        // Failure: a tenant past its quota, worth little there, took the slots of the others.
-        let part = self.fleet.part[class] * if in_full { 1.0 } else { LEAST_PART };
-        let n = self.n_sum(self.fleet.ts + self.fleet.bearable * part);
+        let n = self.room(class, in_full);
         // With no list yet there is no N to sum: hold until an upstream shows or time is up.
         n == 0.0 || ((self.queued - self.idle_queue(class) + self.in_flight) as f64) < n.max(1.0)
     }
 
+    /// The sum of N_i for a class.
+    fn room(&self, class: usize, in_full: bool) -> f64 {
+        // Failure: a tenant past its quota, worth little there, took the slots of the others.
+        let part = self.fleet.part[class] * if in_full { 1.0 } else { LEAST_PART };
+        self.n_sum(self.fleet.ts + self.fleet.bearable * part)
+    }
+
     /// Queued requests of other classes that compete with this one for nothing, as every upstream
     /// is left out for them. Failure: one class that was turned away everywhere filled the queue,
     /// and the others were refused beside idle upstreams.
@@ -604,11 +611,25 @@
     }
 
     fn refuse(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let request = id;
-        out.push(Action::Refuse { request, retry_after: Span(0) });
+        let class = self.requests.get(&id).map_or(0, |e| e.class);
+        out.push(Action::Refuse { request: id, retry_after: self.come_back(class) });
         self.end(id);
     }
 
+    /// When a refused request is worth bringing again: once what is ahead of it over the limit of
+    /// its class has been served, and no sooner than one service takes. Guards against repeats that
+    /// meet the queue that turned them away; where the queue empties at once they come late.
+    fn come_back(&self, class: usize) -> Span {
+        let limits = &self.settings.limits;
+        if !limits.retry_after {
+            return Span(0);
+        }
+        let over = (self.queued + self.in_flight) as f64 - self.room(class, true);
+        let wait = over.max(0.0) / self.fleet.n_per_time.max(1e-9);
+        let wait = Span::of(wait.max(self.fleet.ts * COME_BACK_OF_TS));
+        if limits.max_retry_after.0 > 0 { wait.min(limits.max_retry_after) } else { wait }
+    }
+
     fn end(&mut self, id: RequestId) {
         let Some(e) = self.requests.get_mut(&id) else { return };
         e.ended = true;
--- a/tests/sockets/helper.rs
+++ b/tests/sockets/helper.rs
@@ -288,7 +288,7 @@
         "MachineTypes": ["m"],
         "Services": [class("read", "retryable"), class("put", "dedup"), class("pay", "fragile")],
         "PolicyLimits": {"MaxAttempts": 4, "SecondCopies": true, "Cancelling": true,
-                         "ConnectTimeout": 500.0, "Keepalive": 30000.0, "RetryAfter": true,
+                         "ConnectTimeout": 500.0, "Keepalive": 30000.0, "RetryAfter": true, "MaxRetryAfter": 1000.0,
                          "MaxOpen": 1000},
         "Safety": {"AskEvery": 10000.0, "Cold": 24000.0, "ColdFrom": 0.13, "DrainGrace": 1000.0,
                    "FallMultiple": 3.0, "TipAfter": 1500.0},
--- a/tests/sockets/requests.rs
+++ b/tests/sockets/requests.rs
@@ -106,7 +106,10 @@
     let balancer = Balancer::before(&[&upstream]);
     let mut client = balancer.client();
     client.write(read("1", "").replace("2500", "1"));
-    assert_eq!(client.message().expect("an answer").status(), 503);
+    let answer = client.message().expect("an answer");
+    assert_eq!(answer.status(), 503);
+    let when: f64 = answer.header("retry-after").and_then(|v| v.parse().ok()).expect("a time");
+    assert!(when > 0.0 && when <= 1.0, "it says when to come back: {when}");
     client.write(read("2", ""));
     assert_eq!(client.message().expect("an answer").status(), 200);
     assert_eq!(came.recv_timeout(LONG).expect("a request").id(), "2", "the first went nowhere");
