--- a/tests/sockets/discovery.rs
+++ b/tests/sockets/discovery.rs
@@ -22,14 +22,6 @@
     });
 }
 
-fn named(name: &'static str) -> Peer {
-    Peer::upstream(move |_, _, conn| {
-        conn.write(ok(name));
-        true
-    })
-    .0
-}
-
 #[test]
 fn a_drain_is_kept_and_its_connections_closed() {
     for mode in ["subscribe", "automatic"] {
--- a/tests/sockets/helper.rs
+++ b/tests/sockets/helper.rs
@@ -210,6 +210,15 @@
     }
 }
 
+/// An upstream that answers with its name.
+pub fn named(name: &'static str) -> Peer {
+    Peer::upstream(move |_, _, conn| {
+        conn.write(ok(name));
+        true
+    })
+    .0
+}
+
 /// A discovery service that answers each call by what the test sends.
 pub struct Discovery {
     pub address: SocketAddr,
--- a/tests/sockets/reload.rs
+++ b/tests/sockets/reload.rs
@@ -4,14 +4,6 @@
 
 use crate::helper::*;
 
-fn named(name: &'static str) -> Peer {
-    Peer::upstream(move |_, _, conn| {
-        conn.write(ok(name));
-        true
-    })
-    .0
-}
-
 #[test]
 fn sighup_moves_the_watch_and_asks_for_the_whole_list() {
     for mode in ["subscribe", "automatic"] {
