Decide who holds a client connection by what its place is worth; crates begin

Change: crate sableloom-admission, pure, decides who gets in, who makes room, how long a connection rests and who is turned away. It learns how often connections of a kind and age bring a request, and keeps room for new clients by their rate. The front only carries that out. Also: a client that takes nothing of its answers is cut off after 3 s; one source does not take all places; a want of descriptors lowers the limit for a while; a crowd that finds all busy is turned away with Retry-After; each pipelined request has its own time; SIGHUP begins a watch also where none runs. types, policy and the simulator's adapter are crates, moved with their history; program and adapter are named sableloom and sableloom-sim.

--- /dev/null
+++ b/crates/admission/src/habit.rs
@@ -0,0 +1,203 @@
+//! What connections of one kind have been seen to do next, by how long they have waited.
+//!
+//! Each kind has a piecewise constant hazard (the occurrences over exposure estimator of event
+//! history analysis, e.g. Aalen, Borgan, Gjessing 2008, section 5.1): in each stretch of age, how
+//! often the awaited thing happened, and how often the client left instead, for each second that
+//! a connection stood there. Connections that were closed early count for as long as they were
+//! seen, so the estimate holds under the module's own closing.
+
+use sableloom_types::Span;
+
+/// Where the stretches of age end, in seconds; the last has no end of its own.
+const ENDS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0];
+/// Number of stretches.
+pub(crate) const STRETCHES: usize = ENDS.len() + 1;
+/// The last stretch is taken to be as long as this when its worth is weighed.
+const LAST_S: f64 = 2.0;
+/// What every stretch is taken to have seen before anything was: so many connections pass through
+/// it, at this many things awaited a second. Guards against closing for want of knowledge; could do
+/// harm if it outweighed what a busy second shows, so it is small.
+const PRIOR_PASSED: f64 = 4.0;
+const PRIOR_RATE: f64 = 0.1;
+
+/// How a wait ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ended {
+    /// What was awaited came: a first byte, a whole request, a next request.
+    Happened,
+    /// The client closed.
+    Left,
+    /// Closed from here, or still waiting: nothing is known of what would have come.
+    Cut,
+}
+
+/// The history of one kind.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Habit {
+    exposure: [f64; STRETCHES],
+    happened: [f64; STRETCHES],
+    left: [f64; STRETCHES],
+    /// For each stretch, what a place held from there is worth: awaited things a second.
+    worth: [f64; STRETCHES],
+}
+
+/// The stretch that an age falls in.
+pub(crate) fn stretch(age: Span) -> usize {
+    let seconds = age.f() / 1e6;
+    ENDS.iter().position(|end| seconds < *end).unwrap_or(ENDS.len())
+}
+
+/// When a stretch begins.
+pub(crate) fn begins(stretch: usize) -> Span {
+    Span::of(if stretch == 0 { 0.0 } else { ENDS[stretch - 1] * 1e6 })
+}
+
+fn length(stretch: usize) -> f64 {
+    let start = if stretch == 0 { 0.0 } else { ENDS[stretch - 1] };
+    ENDS.get(stretch).map_or(LAST_S, |end| end - start)
+}
+
+fn add_exposure(to: &mut [f64; STRETCHES], age: Span) {
+    let mut rest = age.f().max(0.0) / 1e6;
+    for (i, seconds) in to.iter_mut().enumerate() {
+        let here = if i < ENDS.len() { rest.min(length(i)) } else { rest };
+        *seconds += here;
+        rest -= here;
+        if rest <= 0.0 {
+            return;
+        }
+    }
+}
+
+impl Habit {
+    /// A wait of this length has ended.
+    pub(crate) fn note(&mut self, age: Span, how: Ended) {
+        add_exposure(&mut self.exposure, age);
+        match how {
+            Ended::Happened => self.happened[stretch(age)] += 1.0,
+            Ended::Left => self.left[stretch(age)] += 1.0,
+            Ended::Cut => {}
+        }
+    }
+
+    /// Lets what was seen fade.
+    pub(crate) fn fade(&mut self, keep: f64) {
+        for part in [&mut self.exposure, &mut self.happened, &mut self.left] {
+            part.iter_mut().for_each(|x| *x *= keep);
+        }
+    }
+
+    /// Weighs anew what a place is worth at each age. `waiting` are the ages of those that wait
+    /// now: left out, a crowd that says nothing would count for nothing until it is closed.
+    pub(crate) fn weigh(&mut self, waiting: impl Iterator<Item = Span>) {
+        let mut exposure = self.exposure;
+        waiting.for_each(|age| add_exposure(&mut exposure, age));
+        let rate = |counts: &[f64; STRETCHES], prior: f64, i: usize| {
+            let passed = PRIOR_PASSED * length(i);
+            (counts[i] + prior * passed) / (exposure[i] + passed)
+        };
+        for from in 0..STRETCHES {
+            // What is yet to come may be better than what is next: the best ratio of things
+            // awaited to time spent, over every age at which one could stop waiting.
+            let (mut alive, mut got, mut spent, mut best) = (1.0, 0.0, 0.0, 0.0f64);
+            for i in from..STRETCHES {
+                let (comes, leaves) =
+                    (rate(&self.happened, PRIOR_RATE, i), rate(&self.left, 0.0, i));
+                let both = comes + leaves;
+                let stays = (-both * length(i)).exp();
+                let time = alive * (1.0 - stays) / both;
+                got += comes * time;
+                spent += time;
+                alive *= stays;
+                best = best.max(got / spent);
+            }
+            self.worth[from] = best;
+        }
+    }
+
+    /// What a place is worth that is held by one that has waited so long: awaited things a second.
+    pub(crate) fn worth(&self, stretch: usize) -> f64 {
+        self.worth[stretch]
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: i64 = 1000;
+
+    fn seen(waits: &[(i64, Ended, usize)]) -> Habit {
+        let mut habit = Habit::default();
+        for (ms, how, times) in waits {
+            (0..*times).for_each(|_| habit.note(Span(ms * MS), *how));
+        }
+        habit.weigh(std::iter::empty());
+        habit
+    }
+
+    #[test]
+    fn ages_fall_into_their_stretches() {
+        assert_eq!(stretch(Span(-5)), 0);
+        assert_eq!(stretch(Span(1999)), 0);
+        assert_eq!(stretch(Span(2000)), 1);
+        assert_eq!(stretch(Span(i64::MAX)), STRETCHES - 1);
+        for i in 0..STRETCHES {
+            assert_eq!(stretch(begins(i)), i);
+        }
+    }
+
+    #[test]
+    fn exposure_is_all_of_the_age_and_no_more() {
+        for ms in [0, 1, 7, 60, 450, 2000, 9000] {
+            let mut parts = [0.0; STRETCHES];
+            add_exposure(&mut parts, Span(ms * MS));
+            let sum: f64 = parts.iter().sum();
+            assert!((sum - ms as f64 / 1e3).abs() < 1e-9, "{ms}: {sum}");
+        }
+    }
+
+    #[test]
+    fn what_comes_again_soon_is_worth_more_than_what_never_comes() {
+        let reused = seen(&[(40, Ended::Happened, 200)]);
+        let never = seen(&[(2400, Ended::Cut, 200)]);
+        assert!(reused.worth(0) > 10.0 * never.worth(0));
+        assert!(reused.worth(0) > 15.0, "{}", reused.worth(0));
+        assert!(never.worth(0) < 0.1, "{}", never.worth(0));
+    }
+
+    #[test]
+    fn a_wait_that_pays_off_later_counts_from_its_start() {
+        let late = seen(&[(300, Ended::Happened, 500)]);
+        // One thing for each 0.3 s, though nothing ever comes in the first 200 ms.
+        assert!((2.5..4.5).contains(&late.worth(0)), "{}", late.worth(0));
+        assert!(late.worth(stretch(Span(250 * MS))) > late.worth(0));
+    }
+
+    #[test]
+    fn clients_that_leave_are_no_promise() {
+        let leaving = seen(&[(40, Ended::Left, 200), (40, Ended::Happened, 10)]);
+        let staying = seen(&[(40, Ended::Happened, 200)]);
+        assert!(leaving.worth(0) * 5.0 < staying.worth(0));
+    }
+
+    #[test]
+    fn a_crowd_that_still_waits_counts() {
+        let mut habit = seen(&[(1, Ended::Happened, 50)]);
+        let silent = stretch(Span(1500 * MS));
+        let before = habit.worth(silent);
+        habit.weigh((0..100).map(|_| Span(2300 * MS)));
+        assert!(habit.worth(silent) < before / 3.0);
+        assert!(habit.worth(0) > 100.0, "those that speak at once are still welcome");
+    }
+
+    #[test]
+    fn what_was_seen_fades_to_the_unknown() {
+        let mut habit = seen(&[(2400, Ended::Cut, 200)]);
+        let learnt = habit.worth(0);
+        (0..400).for_each(|_| habit.fade(0.9));
+        habit.weigh(std::iter::empty());
+        assert!(learnt < habit.worth(0));
+        assert!((habit.worth(0) - PRIOR_RATE).abs() < 1e-6);
+    }
+}
--- a/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -10,7 +10,7 @@
 use oorandom::Rand64;
 use rustc_hash::FxHashMap;
 
-use crate::types::*;
+use sableloom_types::*;
 
 // ---------------------------------------------------------------- tunables
 
@@ -100,32 +100,30 @@
 
 // ---------------------------------------------------------------- settings
 
-impl Settings {
-    fn checked(mut self) -> Result<Self, SettingsError> {
-        if self.classes.is_empty() {
-            return Err(SettingsError::NoClasses);
-        }
-        if let Some(i) = self.classes.iter().position(|c| c.aim.0 <= 0 || c.deadline.0 <= 0) {
-            return Err(SettingsError::BadAim(i));
-        }
-        // Safe defaults: a zero tick or cold share would stop a clock or a cold server for ever.
-        self.tick.0 = self.tick.0.max(100);
-        self.balancers = self.balancers.max(1);
-        self.limits.max_attempts = self.limits.max_attempts.max(1);
-        self.rules.cold_from = self.rules.cold_from.clamp(0.01, 1.0);
-        self.rules.ask_every.0 = self.rules.ask_every.0.max(self.tick.0 * 10);
-        Ok(self)
+fn checked(mut settings: Settings) -> Result<Settings, SettingsError> {
+    if settings.classes.is_empty() {
+        return Err(SettingsError::NoClasses);
     }
-
-    /// T_QoS: one target for all, the mean of the class aims.
-    fn t_qos(&self) -> f64 {
-        self.classes.iter().map(|c| c.aim.f()).sum::<f64>() / self.classes.len() as f64
+    if let Some(i) = settings.classes.iter().position(|c| c.aim.0 <= 0 || c.deadline.0 <= 0) {
+        return Err(SettingsError::BadAim(i));
     }
+    // Safe defaults: a zero tick or cold share would stop a clock or a cold server for ever.
+    settings.tick.0 = settings.tick.0.max(100);
+    settings.balancers = settings.balancers.max(1);
+    settings.limits.max_attempts = settings.limits.max_attempts.max(1);
+    settings.rules.cold_from = settings.rules.cold_from.clamp(0.01, 1.0);
+    settings.rules.ask_every.0 = settings.rules.ask_every.0.max(settings.tick.0 * 10);
+    Ok(settings)
+}
 
-    fn sweep_every(&self) -> Span {
-        let aim = self.classes.iter().map(|c| c.aim.0).min().unwrap_or(0);
-        Span(((aim as f64 * SWEEP_OF_AIM) as i64).max(self.tick.0))
-    }
+/// T_QoS: one target for all, the mean of the class aims.
+fn t_qos(settings: &Settings) -> f64 {
+    settings.classes.iter().map(|c| c.aim.f()).sum::<f64>() / settings.classes.len() as f64
+}
+
+fn sweep_every(settings: &Settings) -> Span {
+    let aim = settings.classes.iter().map(|c| c.aim.0).min().unwrap_or(0);
+    Span(((aim as f64 * SWEEP_OF_AIM) as i64).max(settings.tick.0))
 }
 
 // ---------------------------------------------------------------- state
@@ -521,7 +519,7 @@
         let worth_until = if class.late_worth > 0.0 { r.drop_dead } else { aim_at };
         // Two sweeps early at least: a refusal must come while it is still harmless.
         let least = Span::of(self.fleet.mean[r.class] * LEAST_LEFT);
-        let hold_until = Time(aim_at.0 - least.0.max(2 * self.settings.sweep_every().0));
+        let hold_until = Time(aim_at.0 - least.0.max(2 * sweep_every(&self.settings).0));
         let entry = Entry {
             class: r.class,
             key: r.key,
@@ -1057,8 +1055,8 @@
 impl Balancer {
     /// A balancer that knows its settings and nothing else yet.
     pub fn new(settings: Settings, seed: u64, now: Time) -> Result<Self, SettingsError> {
-        let settings = settings.checked()?;
-        let t_qos = settings.t_qos();
+        let settings = checked(settings)?;
+        let t_qos = t_qos(&settings);
         Ok(Self {
             t_qos,
             rng: Rand64::new(u128::from(seed)),
@@ -1108,7 +1106,7 @@
     }
 
     fn arm(&mut self, now: Time, out: &mut Vec<Action>) {
-        out.push(Action::Arm { token: SWEEP, at: now.plus(self.settings.sweep_every()) });
+        out.push(Action::Arm { token: SWEEP, at: now.plus(sweep_every(&self.settings)) });
     }
 
     /// A timer is due.
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 use std::collections::BTreeMap;
 
-use petreltack::decide::Balancer;
-use petreltack::types::*;
+use sableloom_policy::decide::Balancer;
+use sableloom_types::*;
 
 pub const MS: i64 = 1000;
 
--- a/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{MS, World, member, settings};
-use petreltack::decide::Balancer;
-use petreltack::types::*;
+use sableloom_policy::decide::Balancer;
+use sableloom_types::*;
 
 fn serve(w: &mut World, id: u64, ms: i64) {
     w.pass(Span(ms * MS));
--- a/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::{MS, World, member, settings};
-use petreltack::types::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use sableloom_types::*;
 
 const SAFE: usize = 0;
 const KEYED: usize = 1;
--- a/src/bin/latchfront/config.rs
+++ b/crates/sableloom/src/config.rs
@@ -3,7 +3,7 @@
 use std::env;
 use std::net::SocketAddr;
 
-use petreltack::settings::Facts;
+use sableloom_types::settings::Facts;
 use serde::Deserialize;
 
 use crate::discovery::Snapshot;
@@ -43,10 +43,18 @@
     pub seed: u64,
     pub known: Option<Snapshot>,
     pub facts: Facts,
-    /// Most client connections.
-    pub clients: usize,
+    pub clients: ClientLimits,
     /// Most connections to upstreams.
     pub upstreams: usize,
+}
+
+/// What clients may hold.
+pub struct ClientLimits {
+    /// Most connections.
+    pub places: usize,
+    /// Most of these with requests: the platform lets clients hold a third of all descriptors for
+    /// them, so that more are shut out where this balancer can't see them.
+    pub asking: usize,
     /// Bytes for bodies of requests, past what each connection has of its own.
     pub bodies: usize,
 }
@@ -108,9 +116,12 @@
             seed,
             known: file.known,
             facts: file.settings,
-            clients: sockets - SOCKETS_OTHER - upstreams,
+            clients: ClientLimits {
+                places: sockets - SOCKETS_OTHER - upstreams,
+                asking: sockets / 3,
+                bodies: (memory_mb << 20) / 8,
+            },
             upstreams,
-            bodies: (memory_mb << 20) / 8,
         })
     }
 }
--- a/src/bin/latchfront/discovery.rs
+++ b/crates/sableloom/src/discovery.rs
@@ -9,7 +9,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
-use petreltack::types::ListKind;
+use sableloom_types::ListKind;
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout_at};
--- a/src/bin/latchfront/frontend.rs
+++ b/crates/sableloom/src/frontend.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::panic::AssertUnwindSafe;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -18,15 +19,16 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use petreltack::settings::{Effect, key_hash};
-use petreltack::types::Span;
 use rustc_hash::FxHashMap;
+use sableloom_admission::{Admission, Arrival, Bounds, ConnId, Phase, Release, Then, Why};
+use sableloom_types::settings::{Effect, key_hash, span};
+use sableloom_types::{Span, Time};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{timeout, timeout_at};
 
-use crate::config::{BODY_MAX, HEAD_MAX};
+use crate::config::{BODY_MAX, ClientLimits, HEAD_MAX};
 use crate::node::{Asked, Message, Node, Reply, Taken, Turned};
 use crate::wire::{Io, Wire};
 
@@ -35,14 +37,21 @@
 /// line slower than that would be turned away, but its request's time would be over as well.
 const TAKE: Duration = Duration::from_millis(2200);
 /// A connection whose request was not whole by then and could not be answered is closed.
-const TAKE_CLOSE: Duration = Duration::from_millis(2400);
+const TAKE_CLOSE: Span = Span(2_400_000);
 /// A connection on which nothing is asked for so long is closed: a client that comes again opens
 /// another, and those that never come again would hold descriptors and memory for good.
-const IDLE: Duration = Duration::from_millis(2500);
+const IDLE: Span = Span(2_500_000);
+/// A client that takes nothing of an answer for so long is cut off: longer than any line stalls on
+/// which the rest could still come in time.
+const BLOCKED: Span = Span(3_000_000);
+/// While all places are busy a new client waits for this share of the shortest aim.
+const PATIENCE_OF_AIM: f64 = 0.25;
 /// How long a closed connection is still read, so that its last answer arrives.
 const LINGER: Duration = Duration::from_millis(500);
-/// When no connection could make room, how soon another look is taken.
-const EVICT_AGAIN: Duration = Duration::from_millis(10);
+/// When there is no descriptor for a new connection, how soon another look is taken.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
+/// Descriptors for those that are turned away, until they have read why.
+const DOOR: usize = 8;
 /// The longest that a client may wait, an hour: more is no deadline.
 const EXPIRES_MAX_MS: i64 = 3_600_000;
 /// What each body may hold without drawing on the budget.
@@ -50,20 +59,6 @@
 
 // ---------------------------------------------------------------- connections
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    /// Nothing has come on it yet.
-    Fresh,
-    /// Between requests.
-    Idle,
-    /// A request has begun to come.
-    Reading,
-    /// A request is taken and its answer not yet given over.
-    Busy,
-    /// Its end is told to the client; only what still comes is taken in.
-    Closing,
-}
-
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Close {
     /// Once what was written has left.
@@ -75,40 +70,35 @@
 }
 
 struct Client {
+    frontend: Rc<Frontend>,
+    id: ConnId,
     wire: Rc<Wire>,
-    phase: Cell<Phase>,
-    /// When it came to its phase.
-    since: Cell<Instant>,
-    /// When its present request began to come.
-    begun: Cell<Instant>,
     lengths: Lengths,
     close: Cell<Option<Close>>,
     wake: Notify,
 }
 
 impl Client {
-    fn turn(&self, phase: Phase) {
-        self.phase.set(phase);
-        self.since.set(Instant::now());
-    }
-
     fn heard(&self, bytes: &[u8]) {
-        match self.phase.get() {
-            Phase::Fresh => self.turn(Phase::Reading),
-            Phase::Idle => {
-                self.turn(Phase::Reading);
-                self.begun.set(self.since.get());
-                self.lengths.begin();
-            }
-            Phase::Busy => self.lengths.ahead.set(true),
-            Phase::Reading | Phase::Closing => {}
+        if self.is(Phase::Busy) {
+            self.lengths.ahead.set(true);
+        } else {
+            self.lengths.begin();
+            self.tell(Admission::heard);
         }
         self.lengths.scan(bytes);
     }
 
+    fn tell<T>(&self, event: impl FnOnce(&mut Admission, Time, ConnId) -> T) -> T {
+        event(&mut self.frontend.admission.borrow_mut(), self.frontend.now(), self.id)
+    }
+
+    fn is(&self, phase: Phase) -> bool {
+        self.frontend.admission.borrow().phase(self.id) == Some(phase)
+    }
+
     fn end(&self, how: Close) {
-        let closing = self.close.get().is_some() || self.phase.get() == Phase::Closing;
-        if !closing || how == Close::Evict {
+        if self.close.get().is_none() || how == Close::Evict {
             self.close.set(Some(how));
             self.wake.notify_one();
         }
@@ -116,7 +106,33 @@
 
     /// Whether closing it ends no request that was taken and cuts no answer.
     fn is_spare(&self) -> bool {
-        self.phase.get() != Phase::Busy && !self.wire.blocked.get()
+        !self.is(Phase::Busy) && !self.wire.blocked.get()
+    }
+
+    /// Ends it at once. Both directions are shut first, so that no request can be read of which
+    /// nobody would hear.
+    fn evict(&self) {
+        self.wire.cut();
+        self.end(Close::Evict);
+        self.tell(Admission::closed);
+    }
+
+    /// The answer to its request is about to be written: whether the connection ends with it.
+    fn answering(&self, must_end: bool) -> bool {
+        if !self.is(Phase::Busy) {
+            self.tell(Admission::taken);
+        }
+        if must_end {
+            return true;
+        }
+        match self.tell(Admission::answering) {
+            Then::Keep => false,
+            Then::Close => true,
+            Then::Instead(other) => {
+                self.frontend.release(Release { id: other, why: Why::Room });
+                false
+            }
+        }
     }
 }
 
@@ -129,6 +145,8 @@
     /// How much of the name the present line has matched; past its end if it can't match.
     matched: Cell<usize>,
     seen: Cell<bool>,
+    /// An answer was given over since the present request began.
+    answered: Cell<bool>,
     /// Bytes of the next request may have come with those of this one: they are never forgotten.
     ahead: Cell<bool>,
 }
@@ -138,12 +156,17 @@
     const NO_MATCH: usize = usize::MAX;
 
     fn new() -> Self {
-        Self { matched: Cell::new(0), seen: Cell::new(false), ahead: Cell::new(false) }
+        Self {
+            matched: Cell::new(0),
+            seen: Cell::new(false),
+            answered: Cell::new(false),
+            ahead: Cell::new(false),
+        }
     }
 
-    /// A request begins behind an answer.
+    /// Bytes come; those behind an answer begin a request.
     fn begin(&self) {
-        if !self.ahead.get() {
+        if self.answered.replace(false) && !self.ahead.get() {
             self.matched.set(0);
             self.seen.set(false);
         }
@@ -166,110 +189,164 @@
     }
 }
 
-/// The listening side of the balancer.
+/// The listening side of the balancer. Who holds a place is decided by [`Admission`].
 pub struct Frontend {
     node: Rc<Node>,
-    clients: RefCell<FxHashMap<u64, Rc<Client>>>,
+    admission: RefCell<Admission>,
+    clients: RefCell<FxHashMap<ConnId, Rc<Client>>>,
+    /// The descriptors of clients: a connection that makes room holds its own a little longer.
     slots: Arc<Semaphore>,
+    door: Arc<Semaphore>,
+    /// A place may have become free.
+    changed: Notify,
     /// Memory for request bodies past [`BODY_FREE`]; what is below is bounded by the number of
     /// connections.
     bodies: Arc<Semaphore>,
     draining: Cell<bool>,
-    next: Cell<u64>,
 }
 
 impl Frontend {
-    pub fn new(node: Rc<Node>, most: usize, bodies: usize) -> Rc<Self> {
+    pub fn new(node: Rc<Node>, limits: &ClientLimits) -> Rc<Self> {
+        let shortest = node.facts.services.iter().map(|s| s.aim).fold(f64::INFINITY, f64::min);
+        let advice = &node.facts.policy_limits;
+        let bounds = Bounds {
+            places: limits.places,
+            asking: limits.asking,
+            take: TAKE_CLOSE,
+            rest: IDLE,
+            blocked: BLOCKED,
+            patience: span(shortest * PATIENCE_OF_AIM),
+            advice_most: span(if advice.retry_after { advice.max_retry_after } else { 0.0 }),
+        };
         Rc::new(Self {
+            admission: RefCell::new(Admission::new(bounds, node.clock.now())),
             node,
             clients: RefCell::default(),
-            slots: Arc::new(Semaphore::new(most)),
-            bodies: Arc::new(Semaphore::new(bodies)),
+            slots: Arc::new(Semaphore::new(limits.places)),
+            door: Arc::new(Semaphore::new(DOOR)),
+            changed: Notify::new(),
+            bodies: Arc::new(Semaphore::new(limits.bodies)),
             draining: Cell::new(false),
-            next: Cell::new(0),
         })
     }
 
-    /// Accepts until told otherwise. When all descriptors for clients are in use, the one that
-    /// has been idle or unfinished longest makes room.
+    fn now(&self) -> Time {
+        self.node.clock.now()
+    }
+
+    /// Accepts until told otherwise.
     pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    let slot = self.slot().await;
-                    self.open(stream, slot);
+                Ok((stream, from)) => self.arrived(stream, from.ip()).await,
+                Err(e) if is_shortage(&e) => {
+                    let releases = self.admission.borrow_mut().no_descriptor(self.now());
+                    releases.into_iter().for_each(|release| self.release(release));
+                    // Accepting at once would spin.
+                    let _ = timeout(ACCEPT_AGAIN, self.changed.notified()).await;
                 }
-                // Out of descriptors or memory for the moment: accepting at once would spin.
-                Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+                // That client has gone again.
+                Err(_) => tokio::task::yield_now().await,
             }
         }
     }
 
-    async fn slot(&self) -> OwnedSemaphorePermit {
+    /// Settles what becomes of a new connection. Those behind it wait in the kernel meanwhile.
+    async fn arrived(self: &Rc<Self>, stream: TcpStream, source: IpAddr) {
         loop {
-            if let Ok(slot) = self.slots.clone().try_acquire_owned() {
-                return slot;
-            }
-            self.evict();
-            // If all are busy, one soon is not.
-            if let Ok(Ok(slot)) = timeout(EVICT_AGAIN, self.slots.clone().acquire_owned()).await {
-                return slot;
+            let arrival = self.admission.borrow_mut().arrive(self.now(), source);
+            match arrival {
+                Arrival::Admitted(id) => {
+                    // At once, but for what a connection that made room has to wind down.
+                    if let Ok(slot) = self.slots.clone().acquire_owned().await {
+                        self.open(stream, slot, id);
+                    }
+                    return;
+                }
+                Arrival::MakeRoom(id) => self.make_room(id),
+                Arrival::Wait(until) => {
+                    let until = self.node.clock.instant(until);
+                    let _ = timeout_at(until, self.changed.notified()).await;
+                }
+                Arrival::TurnAway(advice) => return self.turn_away(stream, advice).await,
             }
         }
     }
 
-    fn open(self: &Rc<Self>, stream: TcpStream, slot: OwnedSemaphorePermit) {
+    fn open(self: &Rc<Self>, stream: TcpStream, slot: OwnedSemaphorePermit, id: ConnId) {
         let client = Rc::new(Client {
+            frontend: self.clone(),
+            id,
             wire: Wire::new(stream, slot),
-            phase: Cell::new(Phase::Fresh),
-            since: Cell::new(Instant::now()),
-            begun: Cell::new(Instant::now()),
             lengths: Lengths::new(),
             close: Cell::new(None),
             wake: Notify::new(),
         });
-        let id = self.next.replace(self.next.get() + 1);
         self.clients.borrow_mut().insert(id, client.clone());
-        let listed = Listed { frontend: self.clone(), id };
-        spawn_local(serve(listed, client));
+        spawn_local(serve(Listed(client)));
     }
 
-    /// Closes what will be missed least: what is closing already, then what has said nothing for
-    /// longest. What has spoken and was not yet heard is spared where anything else is left.
-    fn evict(&self) {
-        let clients = self.clients.borrow();
-        let rank = |c: &Rc<Client>| {
-            let class = match c.phase.get() {
-                Phase::Closing => 0,
-                _ if !c.wire.has_input() => 1,
-                _ => 2,
-            };
-            (class, c.since.get())
+    fn client(&self, id: ConnId) -> Option<Rc<Client>> {
+        self.clients.borrow().get(&id).cloned()
+    }
+
+    /// Closes the one that was chosen to make room, unless something speaks against it that only
+    /// its socket shows.
+    fn make_room(&self, id: ConnId) {
+        match self.client(id) {
+            None => self.admission.borrow_mut().closed(self.now(), id),
+            Some(client) if client.wire.blocked.get() => client.tell(Admission::blocked),
+            Some(client) if !client.is(Phase::Closing) && client.wire.has_input() => {
+                client.tell(Admission::unread);
+            }
+            Some(client) => client.evict(),
+        }
+    }
+
+    fn release(&self, release: Release) {
+        let Some(client) = self.client(release.id) else { return };
+        match release.why {
+            Why::Blocked => client.evict(),
+            Why::NotWhole => client.end(Close::Now),
+            Why::Rested | Why::Room if client.wire.blocked.get() => {
+                client.tell(Admission::blocked);
+            }
+            Why::Rested | Why::Room if client.wire.has_input() => client.tell(Admission::unread),
+            Why::Rested | Why::Room => {
+                client.tell(|admission, now, id| admission.closing(now, id, false));
+                client.end(Close::Gracefully);
+            }
+        }
+    }
+
+    /// Tells a client that was not let in that it is harmless to come back, and when.
+    async fn turn_away(&self, stream: TcpStream, advice: Span) {
+        let Ok(place) = self.door.clone().acquire_owned().await else { return };
+        let advice = match advice.0 {
+            0 => String::new(),
+            us => format!("Retry-After: {:.3}\r\n", us as f64 / 1e6),
         };
-        let spare =
-            clients.values().filter(|c| c.is_spare() && c.close.get() != Some(Close::Evict));
-        if let Some(longest) = spare.min_by_key(|c| rank(c)) {
-            longest.end(Close::Evict);
+        let answer = format!(
+            "HTTP/1.1 503 Service Unavailable\r\n{advice}Content-Length: 0\r\n\
+             Connection: close\r\n\r\n"
+        );
+        // It fits into the empty buffer of a new connection, or the client is gone.
+        if stream.writable().await.is_ok() && stream.try_write(answer.as_bytes()).is_ok() {
+            let wire = Wire::new(stream, place);
+            spawn_local(async move { wire.drain(LINGER).await });
         }
     }
 
-    /// Ends connections whose request does not come, or no more.
+    /// Ends connections whose time is over.
     pub fn sweep(&self) {
         for client in self.clients.borrow().values() {
-            match client.phase.get() {
-                Phase::Fresh | Phase::Reading if client.begun.get().elapsed() > TAKE_CLOSE => {
-                    client.end(Close::Now);
-                }
-                Phase::Idle
-                    if client.since.get().elapsed() > IDLE
-                        && client.is_spare()
-                        && !client.wire.has_input() =>
-                {
-                    client.end(Close::Gracefully);
-                }
-                _ => {}
+            match client.wire.blocked.get() {
+                true => client.tell(Admission::blocked),
+                false => self.admission.borrow_mut().unblocked(client.id),
             }
         }
+        let releases = self.admission.borrow_mut().tick(self.now());
+        releases.into_iter().for_each(|release| self.release(release));
     }
 
     /// No new work is wanted: answers say so, and connections between requests are closed.
@@ -277,7 +354,7 @@
         self.draining.set(true);
         for client in self.clients.borrow().values() {
             // A request may just be on its way: then it is answered first.
-            if client.phase.get() == Phase::Idle && client.is_spare() && !client.wire.has_input() {
+            if client.is(Phase::Resting) && client.is_spare() && !client.wire.has_input() {
                 client.end(Close::Gracefully);
             }
         }
@@ -298,25 +375,31 @@
     }
 }
 
-/// A connection's place in the register.
-struct Listed {
-    frontend: Rc<Frontend>,
-    id: u64,
+/// Whether an accept failed for want of descriptors or memory.
+fn is_shortage(e: &std::io::Error) -> bool {
+    // ENOMEM, ENFILE, EMFILE, ENOBUFS (accept(2)).
+    matches!(e.raw_os_error(), Some(12 | 23 | 24 | 105))
 }
 
+/// A connection's place in the register.
+struct Listed(Rc<Client>);
+
 impl Drop for Listed {
     fn drop(&mut self) {
-        self.frontend.clients.borrow_mut().remove(&self.id);
+        let frontend = &self.0.frontend;
+        frontend.clients.borrow_mut().remove(&self.0.id);
+        self.0.tell(Admission::closed);
+        frontend.changed.notify_one();
     }
 }
 
-async fn serve(listed: Listed, client: Rc<Client>) {
-    let frontend = &listed.frontend;
+async fn serve(listed: Listed) {
+    let client = &listed.0;
     let hears = client.clone();
     let io = Io { wire: client.wire.clone(), on_read: move |bytes: &[u8]| hears.heard(bytes) };
     let service = service_fn(|request| {
-        let (frontend, client) = (frontend.clone(), client.clone());
-        async move { Ok::<_, Infallible>(guarded(frontend, client, request).await) }
+        let client = client.clone();
+        async move { Ok::<_, Infallible>(guarded(client, request).await) }
     });
     {
         let mut http = pin!(
@@ -329,17 +412,20 @@
                 biased;
                 _ = http.as_mut() => break,
                 () = client.wake.notified() => match client.close.get() {
+                    Some(Close::Evict) => return,
                     // Something has come since it was told to close: that is served first.
                     _ if !client.is_spare() => client.close.set(None),
                     Some(Close::Gracefully) => http.as_mut().graceful_shutdown(),
-                    Some(Close::Now | Close::Evict) => break,
+                    Some(Close::Now) => break,
                     None => {}
                 },
             }
         }
     }
     if client.close.get() != Some(Close::Evict) {
-        client.turn(Phase::Closing);
+        let by_client = client.close.get().is_none();
+        client.tell(|admission, now, id| admission.closing(now, id, by_client));
+        client.frontend.changed.notify_one();
         tokio::select! {
             () = client.wire.drain(LINGER) => {}
             // Room is needed.
@@ -351,29 +437,26 @@
 // ---------------------------------------------------------------- requests
 
 /// A panic while one request is handled must not leave it unanswered.
-async fn guarded(
-    frontend: Rc<Frontend>,
-    client: Rc<Client>,
-    request: Request<Incoming>,
-) -> Response<Content> {
+async fn guarded(client: Rc<Client>, request: Request<Incoming>) -> Response<Content> {
+    let frontend = &client.frontend;
     let answer = {
-        let mut work = pin!(handle(&frontend, &client, request));
+        let mut work = pin!(handle(frontend, &client, request));
         std::future::poll_fn(|cx| {
             let polled = std::panic::catch_unwind(AssertUnwindSafe(|| work.as_mut().poll(cx)));
             polled.unwrap_or_else(|_| {
-                eprintln!("latchfront: a request's handling panicked; it has failed");
+                eprintln!("sableloom: a request's handling panicked; it has failed");
                 Poll::Ready(plain(StatusCode::INTERNAL_SERVER_ERROR).closing())
             })
         })
         .await
     };
     let Answer { mut response, close } = answer;
-    if close || frontend.draining.get() {
+    let ends = client.answering(close || frontend.draining.get());
+    if ends {
         let value = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, value);
     }
-    client.phase.set(Phase::Busy);
-    response.map(|data| Content { data, client })
+    response.map(|data| Content { data, client, ends })
 }
 
 /// An answer, and whether its connection ends with it.
@@ -403,6 +486,10 @@
 
 async fn handle(frontend: &Frontend, client: &Client, request: Request<Incoming>) -> Answer {
     let node = &frontend.node;
+    // One that came with the request before it has a time limit of its own.
+    client.tell(Admission::next_request);
+    let begun = frontend.admission.borrow().begun(client.id).unwrap_or_else(|| frontend.now());
+    let until = node.clock.instant(begun) + TAKE;
     let (head, body) = request.into_parts();
     if head.uri.path() == "/up" {
         return plain(match frontend.draining.get() {
@@ -419,8 +506,7 @@
         return plain(StatusCode::BAD_REQUEST).closing();
     }
     let mut budget = None;
-    let whole =
-        timeout_at(client.begun.get() + TAKE, read_body(&frontend.bodies, body, &mut budget));
+    let whole = timeout_at(until, read_body(&frontend.bodies, body, &mut budget));
     let body = match whole.await {
         Ok(Ok(body)) => body,
         Ok(Err(status)) => return plain(status).closing(),
@@ -428,7 +514,7 @@
     };
     // It counts from its last byte, also where that came behind another request.
     let arrived = node.clock.at(client.wire.read_at.get());
-    client.turn(Phase::Busy);
+    client.tell(Admission::taken);
     let Wanted { class, tenant, key, expires, uri } = wanted;
     let asked = Asked { class, tenant, key, drop_dead: arrived.plus(expires) };
     let mut headers = head.headers;
@@ -574,6 +660,7 @@
 struct Content {
     data: Bytes,
     client: Rc<Client>,
+    ends: bool,
 }
 
 impl Body for Content {
@@ -599,8 +686,9 @@
 
 impl Drop for Content {
     fn drop(&mut self) {
-        if self.client.phase.get() != Phase::Closing {
-            self.client.turn(Phase::Idle);
-        }
+        let ends = self.ends;
+        self.client.lengths.answered.set(true);
+        self.client.tell(|admission, now, id| admission.answered(now, id, ends));
+        self.client.frontend.changed.notify_one();
     }
 }
--- a/src/bin/latchfront/main.rs
+++ b/crates/sableloom/src/main.rs
@@ -1,6 +1,5 @@
-//! latchfront: one HTTP load balancer on real sockets. It moves bytes and tells time; every
+//! sableloom: one HTTP load balancer on real sockets. It moves bytes and tells time; every
 //! decision is the module's.
-#![forbid(unsafe_code)]
 
 mod config;
 mod discovery;
@@ -40,7 +39,7 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("latchfront: {message}");
+            eprintln!("sableloom: {message}");
             ExitCode::FAILURE
         }
     }
@@ -48,16 +47,15 @@
 
 async fn run() -> Result<(), String> {
     let config = Config::load()?;
-    let (clients, bodies) = (config.clients, config.bodies);
     let longest = node::longest_deadline(&config.facts);
     let listener =
         listen(&config).map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("field `listen`: {e}"))?;
-    let node = Node::start(config)?;
-    eprintln!("latchfront: listening on {address}");
-    let frontend = Frontend::new(node.clone(), clients, bodies);
+    let (node, clients) = Node::start(config)?;
+    eprintln!("sableloom: listening on {address}");
+    let frontend = Frontend::new(node.clone(), &clients);
     let listener = Rc::new(listener);
     let accepting = wire::Task::spawn(frontend.clone().accept(listener.clone()));
     let (f, n) = (frontend.clone(), node.clone());
@@ -75,17 +73,17 @@
         while hangup.recv().await.is_some() {
             match Config::reread_discovery() {
                 Ok(at) => {
-                    eprintln!("latchfront: SIGHUP; discovery is at {at}");
+                    eprintln!("sableloom: SIGHUP; discovery is at {at}");
                     n.move_discovery(at);
                 }
-                Err(e) => eprintln!("latchfront: SIGHUP; nothing is changed: {e}"),
+                Err(e) => eprintln!("sableloom: SIGHUP; nothing is changed: {e}"),
             }
         }
     });
 
     term.recv().await;
     let told = Instant::now();
-    eprintln!("latchfront: SIGTERM; {} connections, {} open", frontend.connections(), node.open());
+    eprintln!("sableloom: SIGTERM; {} connections, {} open", frontend.connections(), node.open());
     frontend.drain();
     sleep_until(told + ACCEPT_ON).await;
     // From here on new connections are refused, and none is left on which a request could come
@@ -98,7 +96,7 @@
         sleep(Duration::from_millis(5)).await;
         frontend.close_spare();
     }
-    eprintln!("latchfront: ending; {} connections, {} open", frontend.connections(), node.open());
+    eprintln!("sableloom: ending; {} connections, {} open", frontend.connections(), node.open());
     Ok(())
 }
 
--- a/src/bin/latchfront/node.rs
+++ b/crates/sableloom/src/node.rs
@@ -9,18 +9,18 @@
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Uri};
-use petreltack::decide::Balancer;
-use petreltack::settings::{Facts, Reports, span, stable_hash, time};
-use petreltack::types::{
+use rustc_hash::{FxHashMap, FxHashSet};
+use sableloom_policy::decide::Balancer;
+use sableloom_types::settings::{Facts, Reports, span, stable_hash, time};
+use sableloom_types::{
     Action, Answer, ListKind, Member, Outcome, Report, Request, RequestId, ServerId, Span, Status,
     Time,
 };
-use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, OwnedSemaphorePermit, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
-use crate::config::Config;
+use crate::config::{ClientLimits, Config};
 use crate::discovery::{self, Entry};
 use crate::upstream::{self, Pool};
 use crate::wire::Task;
@@ -37,7 +37,7 @@
         Self { start: Instant::now(), unix_us: unix.as_micros() as i64 }
     }
 
-    fn now(&self) -> Time {
+    pub fn now(&self) -> Time {
         self.at(Instant::now())
     }
 
@@ -45,7 +45,7 @@
         Time(self.unix_us + instant.duration_since(self.start).as_micros() as i64)
     }
 
-    fn instant(&self, time: Time) -> Instant {
+    pub fn instant(&self, time: Time) -> Instant {
         self.start + micros(Span(time.0 - self.unix_us))
     }
 }
@@ -154,9 +154,9 @@
 
 impl Node {
     /// A node that knows the list of its configuration and has begun to keep time.
-    pub fn start(config: Config) -> Result<Rc<Self>, String> {
+    pub fn start(config: Config) -> Result<(Rc<Self>, ClientLimits), String> {
         let clock = Clock::new();
-        let Config { facts, seed, upstreams, discovery, known, .. } = config;
+        let Config { facts, seed, clients, upstreams, discovery, known, .. } = config;
         let balancer = Balancer::new(facts.settings(), seed, clock.now())
             .map_err(|e| format!("field `settings`: {e}"))?;
         let state = State {
@@ -185,7 +185,7 @@
         if !node.must_ask() {
             node.watch(&mut node.state.borrow_mut());
         }
-        Ok(node)
+        Ok((node, clients))
     }
 
     /// Begins to watch discovery where it now is; a watch that runs already ends.
@@ -195,20 +195,19 @@
             Some(Task::spawn(discovery::watch(self.clone(), self.discovery.get(), pushed)));
     }
 
-    /// Discovery is at this address from now on. Its list is asked for whole: versions of one
-    /// service need not be those of another. Guards against an old service that still answers
-    /// for a while, or says nothing more; costs one whole list if the address is the same.
+    /// Discovery is at this address from now on, and watched there at once, also if no watch runs.
+    /// Its list is asked for whole: versions of one service need not be those of another. Guards
+    /// against an old service that still answers for a while, or says nothing more; costs one whole
+    /// list if the address is the same.
     pub fn move_discovery(self: &Rc<Self>, at: SocketAddr) {
         self.discovery.set(at);
         let mut state = self.state.borrow_mut();
         state.revision = None;
-        if state.watch.is_some() {
-            self.watch(&mut state);
-        }
+        self.watch(&mut state);
     }
 
     fn must_ask(&self) -> bool {
-        self.facts.registry_mode == petreltack::settings::RegistryMode::Subscribe
+        self.facts.registry_mode == sableloom_types::settings::RegistryMode::Subscribe
     }
 
     /// Makes one call of the module and carries out what it answers with.
--- a/tests/sockets/helper.rs
+++ b/crates/sableloom/tests/sockets/helper.rs
@@ -322,7 +322,7 @@
     fn of(config: &str) -> Self {
         static COUNT: AtomicU64 = AtomicU64::new(0);
         let number = COUNT.fetch_add(1, Ordering::SeqCst);
-        let name = format!("latchfront-{}-{number}.json", std::process::id());
+        let name = format!("sableloom-{}-{number}.json", std::process::id());
         let file = Self(env::temp_dir().join(name));
         file.write(config);
         file
@@ -345,7 +345,7 @@
 }
 
 fn spawn_on(file: &ConfigFile) -> (Child, BufReader<ChildStderr>) {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_latchfront"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sableloom"));
     command
         .env("ROUTER_CONFIG", &file.0)
         .env_remove("ROUTER_LISTEN")
--- a/src/bin/petreltack-drill/instance.rs
+++ b/crates/sim/src/instance.rs
@@ -1,9 +1,9 @@
 //! One balancer of the bank and the names its handles stand for.
 
-use petreltack::decide::Balancer;
-use petreltack::settings::{Stats, key_hash, span, stable_hash, time};
-use petreltack::types::{self as d, Action, Report, RequestId, ServerId, Time};
 use rustc_hash::FxHashMap;
+use sableloom_policy::decide::Balancer;
+use sableloom_types::settings::{Stats, key_hash, span, stable_hash, time};
+use sableloom_types::{self as d, Action, Report, RequestId, ServerId, Time};
 
 use crate::wire::{self, Command};
 
--- a/src/bin/petreltack-drill/main.rs
+++ b/crates/sim/src/main.rs
@@ -17,7 +17,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("petreltack-drill: {message}");
+            eprintln!("sableloom-sim: {message}");
             ExitCode::FAILURE
         }
     }
@@ -92,7 +92,7 @@
     event: &Event,
     reply: &mut Vec<u8>,
 ) -> Result<(), Failure> {
-    let now = petreltack::settings::time(ts);
+    let now = sableloom_types::settings::time(ts);
     let who = match event {
         Event::Init(m) => {
             let made = Instance::new(now, m, reply);
--- a/src/bin/petreltack-drill/wire.rs
+++ b/crates/sim/src/wire.rs
@@ -3,7 +3,7 @@
 use std::borrow::Cow;
 
 use arrayvec::ArrayVec;
-use petreltack::settings::Facts;
+use sableloom_types::settings::Facts;
 use serde::{Deserialize, Serialize};
 
 pub type Text<'a> = Cow<'a, str>;
--- a/tests/drill.rs
+++ b/crates/sim/tests/wire.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 fn drill(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_petreltack-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sableloom-sim"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/src/types.rs
+++ b/crates/types/src/lib.rs
@@ -1,5 +1,7 @@
 //! The words that the balancer and its caller share: ids, time, settings, events, actions.
-//! Plain data; every decision is in [`crate::decide`].
+//! Plain data; every decision is in a crate of its own.
+
+pub mod settings;
 
 /// A point on the caller's clock, in microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/settings.rs
+++ b/crates/types/src/settings.rs
@@ -3,7 +3,7 @@
 
 use serde::Deserialize;
 
-use crate::types::{self as d, Report, Span, Time};
+use crate::{self as d, Report, Span, Time};
 
 /// Milliseconds in whole microseconds; whatever is not a number is 0.
 pub fn span(ms: f64) -> Span {
