--- a/crates/sableloom/src/discovery.rs
+++ b/crates/discovery/src/lib.rs
@@ -1,5 +1,6 @@
-//! The list of upstreams: its form, and the watch that keeps it.
+//! The list of servers from a discovery service over HTTP: its form, and the watch that keeps it.
 
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,14 +10,12 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
-use sableloom_types::ListKind;
+use sableloom_exchange::{Entry, Sink, Source, Task};
+use sableloom_types::{ListKind, Status};
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::node::Node;
-use crate::wire::Task;
-
 /// How long a watch asks discovery to wait.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// How long past its wait a call may take.
@@ -28,11 +27,13 @@
 /// Most bytes of one answer: some 50,000 entries.
 const ANSWER_MAX: usize = 8 << 20;
 
-/// A list of upstreams, or a change to one, as discovery writes it.
+/// A list of servers, or a change to one, as discovery writes it.
 #[derive(Deserialize)]
 pub struct Snapshot {
+    /// Its version.
     #[serde(default)]
     pub revision: u64,
+    /// Whether it is the whole list.
     #[serde(default)]
     pub complete: bool,
     /// Entries that make no sense are left out one by one.
@@ -40,31 +41,53 @@
     members: Vec<serde_json::Value>,
 }
 
-/// One upstream.
+/// One server, as discovery writes it.
 #[derive(Deserialize)]
-pub struct Entry {
-    pub id: String,
-    pub host_port: SocketAddr,
+struct Written {
+    id: Box<str>,
+    host_port: SocketAddr,
     #[serde(default)]
-    pub locality: String,
+    locality: Box<str>,
     #[serde(default)]
-    pub flavor: String,
+    flavor: Box<str>,
     #[serde(default)]
-    pub cell: u32,
-    pub phase: String,
+    cell: u32,
+    phase: String,
     #[serde(default = "one")]
-    pub size: f64,
+    size: f64,
     #[serde(default)]
-    pub up_since_ms: f64,
+    up_since_ms: f64,
 }
 
 fn one() -> f64 {
     1.0
 }
 
+impl From<Written> for Entry {
+    fn from(written: Written) -> Self {
+        Self {
+            id: written.id,
+            address: written.host_port,
+            zone: written.locality,
+            kind: written.flavor,
+            cell: written.cell,
+            status: match written.phase.as_str() {
+                "SERVING" => Status::Live,
+                "DELETED" => Status::Gone,
+                // A phase that is not known here is no invitation to send.
+                _ => Status::Draining,
+            },
+            size: written.size,
+            up_since_ms: written.up_since_ms,
+        }
+    }
+}
+
 impl Snapshot {
+    /// The servers that it names.
     pub fn entries(self) -> Vec<Entry> {
-        self.members.into_iter().filter_map(|m| serde_json::from_value(m).ok()).collect()
+        let read = |value| serde_json::from_value::<Written>(value).ok().map(Entry::from);
+        self.members.into_iter().filter_map(read).collect()
     }
 }
 
@@ -81,7 +104,7 @@
         let mut values = serde_json::Deserializer::from_slice(rest).into_iter();
         let Some(Ok(value)) = values.next() else { return entries };
         rest = &rest[values.byte_offset()..];
-        entries.extend(serde_json::from_value::<Entry>(value));
+        entries.extend(serde_json::from_value::<Written>(value).map(Entry::from));
     }
 }
 
@@ -98,15 +121,67 @@
     Broken(Vec<u8>),
 }
 
+/// A discovery service, as a source of servers.
+pub struct Discovery {
+    at: Cell<SocketAddr>,
+    /// It is an agent on this machine, to be watched for ever; else each failure is told.
+    pushed: bool,
+    revision: Cell<Option<u64>>,
+    sink: RefCell<Option<Rc<dyn Sink>>>,
+    /// The running watch, if there is one.
+    watch: RefCell<Option<Task>>,
+}
+
+impl Discovery {
+    /// Discovery at this address, of which this version of the list is known.
+    pub fn new(at: SocketAddr, pushed: bool, revision: Option<u64>) -> Rc<Self> {
+        Rc::new(Self {
+            at: Cell::new(at),
+            pushed,
+            revision: Cell::new(revision),
+            sink: RefCell::new(None),
+            watch: RefCell::new(None),
+        })
+    }
+
+    /// It is at this address from now on, and watched there at once, also if no watch runs. Its
+    /// list is asked for whole: versions of one service need not be those of another. Guards
+    /// against an old service that still answers for a while, or says nothing more; costs one whole
+    /// list if the address is the same.
+    pub fn move_to(self: &Rc<Self>, at: SocketAddr) {
+        self.at.set(at);
+        self.revision.set(None);
+        self.begin();
+    }
+
+    /// Begins to watch; a watch that runs already ends. Without a sink it begins with the first.
+    fn begin(self: &Rc<Self>) {
+        if let Some(sink) = self.sink.borrow().clone() {
+            *self.watch.borrow_mut() = Some(Task::spawn(watch(self.clone(), sink)));
+        }
+    }
+}
+
+impl Source for Discovery {
+    fn subscribe(self: Rc<Self>, sink: Rc<dyn Sink>) {
+        *self.sink.borrow_mut() = Some(sink);
+        if self.watch.borrow().is_none() {
+            self.begin();
+        }
+    }
+}
+
 /// Watches discovery until a call fails. Where the list is pushed, the agent is watched for ever.
-pub async fn watch(node: Rc<Node>, at: SocketAddr, pushed: bool) {
+async fn watch(discovery: Rc<Discovery>, sink: Rc<dyn Sink>) {
+    let at = discovery.at.get();
     let mut kept = None;
     loop {
-        let after = node.revision();
+        let after = discovery.revision.get();
         match call(&mut kept, at, after).await {
             Call::Whole(snapshot) => {
                 let kind = if snapshot.complete { ListKind::Whole } else { ListKind::Update };
-                node.listed(kind, Some(snapshot.revision), snapshot.entries());
+                discovery.revision.set(Some(snapshot.revision));
+                sink.clone().listed(kind, snapshot.entries());
             }
             Call::Broken(text) => {
                 kept = None;
@@ -114,10 +189,12 @@
                 // must come again.
                 let entries = whole_entries(&text);
                 if !entries.is_empty() {
-                    node.listed(ListKind::Update, None, entries);
+                    sink.clone().listed(ListKind::Update, entries);
                 }
-                if !pushed {
-                    return node.list_failed();
+                if !discovery.pushed {
+                    // This task is the watch: nothing is awaited after it is dropped.
+                    *discovery.watch.borrow_mut() = None;
+                    return sink.list_failed();
                 }
                 sleep(AGENT_PAUSE).await;
             }
--- /dev/null
+++ b/crates/exchange/src/clock.rs
@@ -0,0 +1,42 @@
+//! Time as the decision module counts it.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use sableloom_types::{Span, Time};
+use tokio::time::Instant;
+
+/// The monotonic clock, anchored once to Unix time so that the start times of servers fit on it.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    unix_us: i64,
+}
+
+impl Clock {
+    /// A clock that is anchored now.
+    #[allow(clippy::new_without_default, reason = "two clocks would differ")]
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { start: Instant::now(), unix_us: unix.as_micros() as i64 }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Time {
+        self.at(Instant::now())
+    }
+
+    /// An instant as a time.
+    pub fn at(&self, instant: Instant) -> Time {
+        Time(self.unix_us + instant.duration_since(self.start).as_micros() as i64)
+    }
+
+    /// A time as an instant; the clock's start for any before it.
+    pub fn instant(&self, time: Time) -> Instant {
+        self.start + micros(Span(time.0 - self.unix_us))
+    }
+}
+
+/// A span as a duration; none for a negative one.
+pub fn micros(span: Span) -> Duration {
+    Duration::from_micros(span.0.max(0) as u64)
+}
--- /dev/null
+++ b/crates/exchange/src/exchange.rs
@@ -0,0 +1,453 @@
+//! The balancer's one mind: the sole owner of the decision module. What happens becomes its calls,
+//! and its actions are carried out here. Nothing is decided here.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use rustc_hash::{FxHashMap, FxHashSet};
+use sableloom_policy::decide::Balancer;
+use sableloom_types::settings::{Facts, RegistryMode, span, stable_hash, time};
+use sableloom_types::{
+    Action, Answer as Told, ListKind, Member, Outcome, Report, Request, RequestId, ServerId,
+    SettingsError, Span, Status, Time,
+};
+use tokio::sync::{Notify, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep_until};
+
+use crate::clock::{Clock, micros};
+use crate::fate::{self, Ended};
+use crate::message::{Asked, Message, Reply, Turned};
+use crate::ports::{Call, Came, Entry, Service, Sink, Source, Transport, Work};
+
+/// An open request.
+struct Job {
+    id: RequestId,
+    message: Rc<Message>,
+    drop_dead: Time,
+    reply: RefCell<Option<oneshot::Sender<Reply>>>,
+    /// Its final answer is given or its client gone.
+    over: Rc<Cell<bool>>,
+    attempts: RefCell<Vec<Rc<Attempt>>>,
+    out: Cell<usize>,
+    /// Wakes the attempts that have not been written whole when the request is over.
+    ended: Notify,
+}
+
+impl Job {
+    fn end(&self) -> Option<oneshot::Sender<Reply>> {
+        self.over.set(true);
+        self.reply.take()
+    }
+}
+
+/// One sending of a request.
+struct Attempt {
+    number: usize,
+    sent: Instant,
+    call: Rc<Call>,
+    cancel: Notify,
+}
+
+struct Upstream {
+    name: Box<str>,
+    address: SocketAddr,
+    /// Not gone.
+    listed: bool,
+}
+
+struct State {
+    balancer: Balancer,
+    jobs: FxHashMap<RequestId, Rc<Job>>,
+    next_id: u64,
+    /// The ids of the jobs, as clients named them.
+    trace_ids: FxHashSet<Bytes>,
+    upstreams: FxHashMap<ServerId, Upstream>,
+    by_name: FxHashMap<Box<str>, ServerId>,
+    next_upstream: u32,
+}
+
+/// What an exchange is made of.
+pub struct Options {
+    /// The deployment's settings.
+    pub facts: Rc<Facts>,
+    /// For random numbers.
+    pub seed: u64,
+    /// The clock that all parts share.
+    pub clock: Clock,
+    /// Carries attempts.
+    pub transport: Rc<dyn Transport>,
+    /// Names servers.
+    pub source: Rc<dyn Source>,
+}
+
+/// One pool of servers, its decision module and its open requests.
+pub struct Exchange {
+    state: RefCell<State>,
+    clock: Clock,
+    facts: Rc<Facts>,
+    transport: Rc<dyn Transport>,
+    source: Rc<dyn Source>,
+}
+
+impl Exchange {
+    /// An exchange that knows no server yet and has begun to keep time. It asks its source at once
+    /// where the list comes unasked.
+    pub fn start(options: Options) -> Result<Rc<Self>, SettingsError> {
+        let Options { facts, seed, clock, transport, source } = options;
+        let balancer = Balancer::new(facts.settings(), seed, clock.now())?;
+        let state = State {
+            balancer,
+            jobs: FxHashMap::default(),
+            next_id: 0,
+            trace_ids: FxHashSet::default(),
+            upstreams: FxHashMap::default(),
+            by_name: FxHashMap::default(),
+            next_upstream: 0,
+        };
+        let state = RefCell::new(state);
+        let exchange = Rc::new(Self { state, clock, facts, transport, source });
+        exchange.tell(|balancer, now, out| balancer.start(now, out));
+        if exchange.facts.registry_mode == RegistryMode::Automatic {
+            exchange.source.clone().subscribe(exchange.clone());
+        }
+        Ok(exchange)
+    }
+
+    /// Makes one call of the module and carries out what it answers with.
+    fn tell(self: &Rc<Self>, call: impl FnOnce(&mut Balancer, Time, &mut Vec<Action>)) {
+        let mut state = self.state.borrow_mut();
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        call(&mut state.balancer, now, &mut actions);
+        for action in actions {
+            self.carry_out(&mut state, now, action);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, state: &mut State, now: Time, action: Action) {
+        match action {
+            Action::Send { request, server, timeout } => {
+                let Some(job) = state.jobs.get(&request) else { return };
+                let Some(upstream) = state.upstreams.get(&server) else { return };
+                let limit = job.drop_dead;
+                let until = if timeout.0 == 0 { limit } else { limit.min(now.plus(timeout)) };
+                let until = self.clock.instant(until);
+                let to = (server, upstream.address);
+                let attempt = Rc::new(Attempt {
+                    number: job.attempts.borrow().len(),
+                    sent: self.clock.instant(now),
+                    call: Rc::new(Call::new(job.message.clone(), to, until, job.over.clone())),
+                    cancel: Notify::new(),
+                });
+                job.attempts.borrow_mut().push(attempt.clone());
+                job.out.set(job.out.get() + 1);
+                spawn_local(carry(Pending::new(self, job, attempt)));
+            }
+            Action::Refuse { request, retry_after } => {
+                let limits = &self.facts.policy_limits;
+                let advice = limits.retry_after && retry_after.0 > 0;
+                let advice = advice.then(|| micros(retry_after));
+                self.answer(state, request, Reply::Refused(advice));
+            }
+            Action::Fail { request } => self.answer(state, request, Reply::Failed),
+            Action::Cancel { request, attempt } => {
+                if let Some(job) = state.jobs.get(&request)
+                    && let Some(attempt) = job.attempts.borrow().get(attempt)
+                {
+                    attempt.cancel.notify_one();
+                }
+            }
+            Action::Arm { token, at } => {
+                let (exchange, at) = (self.clone(), self.clock.instant(at));
+                spawn_local(async move {
+                    sleep_until(at).await;
+                    exchange.tell(|balancer, now, out| balancer.timer(now, token, out));
+                });
+            }
+            Action::Probe { server } => {
+                let upstream = state.upstreams.get(&server);
+                if let Some(upstream) = upstream.filter(|_| self.facts.policy_limits.probes) {
+                    let probe = self.transport.clone().probe(server, upstream.address);
+                    let (exchange, sent) = (self.clone(), Instant::now());
+                    spawn_local(async move {
+                        let report = probe.await;
+                        exchange.probed(server, report, sent.elapsed());
+                    });
+                }
+            }
+            Action::Subscribe => {
+                // Not from within the call: a source may tell something at once.
+                let exchange = self.clone();
+                spawn_local(async move {
+                    exchange.source.clone().subscribe(exchange.clone());
+                });
+            }
+        }
+    }
+
+    /// The one place that gives a request its final answer, once.
+    fn answer(&self, state: &mut State, id: RequestId, reply: Reply) {
+        let Some(job) = state.jobs.get(&id) else { return };
+        let Some(waiting) = job.end() else { return };
+        // A client that has just left needs none.
+        let _ = waiting.send(reply);
+        job.ended.notify_waiters();
+        Self::forget(state, id);
+    }
+
+    /// Drops a request that is over and has no attempt out.
+    fn forget(state: &mut State, id: RequestId) {
+        if state.jobs.get(&id).is_some_and(|job| job.over.get() && job.out.get() == 0)
+            && let Some(job) = state.jobs.remove(&id)
+        {
+            state.trace_ids.remove(&job.message.id);
+        }
+    }
+
+    /// Requests that are taken and not over.
+    pub fn open(&self) -> usize {
+        self.state.borrow().jobs.values().filter(|job| !job.over.get()).count()
+    }
+
+    // ------------------------------------------------------------ what servers do
+
+    fn outcome(self: &Rc<Self>, job: &Job, attempt: &Attempt, came: Came) {
+        let id = job.id;
+        job.out.set(job.out.get() - 1);
+        let facts = fate::Facts {
+            ended: came.ended,
+            left_whole: attempt.call.left_whole(),
+            disowned: came.disowned,
+        };
+        let outcome = fate::judge(facts);
+        let latency = Span(attempt.sent.elapsed().as_micros() as i64);
+        if outcome == Outcome::Ok {
+            let answer = came.answer.unwrap_or_default();
+            self.answer(&mut self.state.borrow_mut(), id, Reply::Served(answer));
+        }
+        let told = Told {
+            request: id,
+            attempt: attempt.number,
+            server: attempt.call.server,
+            outcome,
+            latency,
+            last: job.over.get(),
+            report: came.report,
+        };
+        self.tell(|balancer, now, out| balancer.outcome(now, told, out));
+        Self::forget(&mut self.state.borrow_mut(), id);
+    }
+
+    fn probed(self: &Rc<Self>, server: ServerId, report: Option<Report>, took: Duration) {
+        let took = Span(took.as_micros() as i64);
+        let (alive, report) = (report.is_some(), report.unwrap_or_default());
+        self.tell(|balancer, now, out| balancer.probed(now, server, alive, took, report, out));
+    }
+
+    // ------------------------------------------------------------ what sources tell
+
+    /// Forgets the upstreams that are gone and that the module has forgotten: over a long run ever
+    /// new ones come, and what is kept of each would only grow.
+    fn forget_gone(&self) {
+        let state = &mut *self.state.borrow_mut();
+        state.upstreams.retain(|id, upstream| {
+            let keep = upstream.listed || state.balancer.knows(*id);
+            if !keep {
+                state.by_name.remove(&upstream.name);
+                self.transport.forget(*id);
+            }
+            keep
+        });
+    }
+
+    fn member(&self, state: &mut State, entry: &Entry) -> Member {
+        let fresh = ServerId(state.next_upstream);
+        let id = *state.by_name.entry(entry.id.clone()).or_insert(fresh);
+        if id == fresh {
+            state.next_upstream += 1;
+        }
+        let new = || Upstream { name: entry.id.clone(), address: entry.address, listed: true };
+        let upstream = state.upstreams.entry(id).or_insert_with(new);
+        upstream.listed = entry.status != Status::Gone;
+        if upstream.address != entry.address {
+            upstream.address = entry.address;
+            self.transport.moved(id);
+        }
+        let index = |names: &[String], name: &str| {
+            names.iter().position(|n| n == name).unwrap_or(names.len()) as u32
+        };
+        Member {
+            id,
+            // Not of the address, which differs from one balancer to the next.
+            identity: stable_hash(&upstream.name),
+            zone: index(&self.facts.zones, &entry.zone),
+            kind: index(&self.facts.machine_types, &entry.kind),
+            cell: entry.cell,
+            status: entry.status,
+            weight: entry.size,
+            started: (entry.up_since_ms > 0.0).then(|| time(entry.up_since_ms)),
+        }
+    }
+}
+
+impl Service for Exchange {
+    fn call(self: Rc<Self>, asked: Asked, message: Message) -> Result<Work<Reply>, Turned> {
+        let (sender, receiver) = oneshot::channel();
+        let id = {
+            let mut state = self.state.borrow_mut();
+            let most = self.facts.policy_limits.max_open;
+            if most > 0 && state.jobs.len() >= most {
+                return Err(Turned::TooMany);
+            }
+            // Whoever goes by the id would take the two for one: an answer, a repeat or a reset
+            // of one for the other's. Also while an attempt of a request that is over is out.
+            if !state.trace_ids.insert(message.id.clone()) {
+                return Err(Turned::SameId);
+            }
+            let id = RequestId(state.next_id);
+            state.next_id += 1;
+            let job = Job {
+                id,
+                message: Rc::new(message),
+                drop_dead: asked.drop_dead,
+                reply: RefCell::new(Some(sender)),
+                over: Rc::new(Cell::new(false)),
+                attempts: RefCell::new(Vec::new()),
+                out: Cell::new(0),
+                ended: Notify::new(),
+            };
+            state.jobs.insert(id, Rc::new(job));
+            id
+        };
+        let Asked { class, tenant, key, drop_dead } = asked;
+        let request = Request { id, class, tenant, key, drop_dead };
+        self.tell(|balancer, now, out| balancer.request(now, request, out));
+        Ok(Box::pin(Taken { exchange: self, id, receiver }))
+    }
+}
+
+impl Sink for Exchange {
+    fn listed(self: Rc<Self>, kind: ListKind, entries: Vec<Entry>) {
+        let members: Vec<Member> = {
+            let mut state = self.state.borrow_mut();
+            if kind != ListKind::Update {
+                // What a whole list leaves out is gone.
+                for (id, upstream) in &mut state.upstreams {
+                    upstream.listed = false;
+                    self.transport.retire(*id, true);
+                }
+            }
+            entries.iter().map(|entry| self.member(&mut state, entry)).collect()
+        };
+        // Idle connections to a server that drains only hold up its end.
+        for member in &members {
+            self.transport.retire(member.id, member.status != Status::Live);
+        }
+        self.tell(|balancer, now, out| balancer.members(now, kind, &members, out));
+        self.forget_gone();
+    }
+
+    fn list_failed(self: Rc<Self>) {
+        self.tell(|balancer, now, out| balancer.members(now, ListKind::Unavailable, &[], out));
+    }
+}
+
+/// Carries out one attempt, to its one outcome.
+async fn carry(pending: Pending) {
+    let came = pending.carry().await;
+    pending.end(came);
+}
+
+/// The wait for a final answer. It keeps the promise to a client: when it ends with no answer, for
+/// whatever reason, the module hears that the client is gone.
+struct Taken {
+    exchange: Rc<Exchange>,
+    id: RequestId,
+    receiver: oneshot::Receiver<Reply>,
+}
+
+impl Future for Taken {
+    type Output = Reply;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Reply> {
+        Pin::new(&mut self.receiver).poll(cx).map(|reply| reply.unwrap_or(Reply::Failed))
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        let gone = {
+            let mut state = self.exchange.state.borrow_mut();
+            let Some(job) = state.jobs.get(&self.id) else { return };
+            let gone = job.end().is_some();
+            job.ended.notify_waiters();
+            Exchange::forget(&mut state, self.id);
+            gone
+        };
+        if gone {
+            self.exchange.tell(|balancer, now, out| balancer.client_gone(now, self.id, out));
+        }
+    }
+}
+
+/// An attempt that owes the module its one outcome. If its task panics, it may have run.
+struct Pending {
+    exchange: Rc<Exchange>,
+    job: Rc<Job>,
+    attempt: Rc<Attempt>,
+    owed: bool,
+}
+
+impl Pending {
+    fn new(exchange: &Rc<Exchange>, job: &Rc<Job>, attempt: Rc<Attempt>) -> Self {
+        Self { exchange: exchange.clone(), job: job.clone(), attempt, owed: true }
+    }
+
+    async fn carry(&self) -> Came {
+        let Self { exchange, job, attempt, .. } = self;
+        let call = &attempt.call;
+        if attempt.number >= exchange.facts.policy_limits.max_attempts {
+            return Came::nothing(Ended::NotBegun);
+        }
+        let ended = async {
+            job.ended.notified().await;
+            if call.left_whole() {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            biased;
+            came = exchange.transport.clone().attempt(call.clone()) => came,
+            () = attempt.cancel.notified() => Came::nothing(Ended::Withdrawn),
+            // After the final answer no byte goes out: what is half written stays so.
+            () = ended => Came::nothing(Ended::Over),
+            () = sleep_until(call.until) => Came::nothing(Ended::TimeUp),
+        }
+    }
+
+    fn end(mut self, came: Came) {
+        self.owed = false;
+        self.exchange.outcome(&self.job, &self.attempt, came);
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if std::mem::take(&mut self.owed) {
+            let came = Came::nothing(Ended::Broke);
+            self.exchange.outcome(&self.job, &self.attempt, came);
+        }
+    }
+}
+
+/// The longest that any class lets a client wait.
+pub fn longest_deadline(facts: &Facts) -> Duration {
+    let longest = facts.services.iter().map(|s| s.deadline).fold(0.0, f64::max);
+    micros(span(longest))
+}
--- /dev/null
+++ b/crates/exchange/src/fate.rs
@@ -0,0 +1,115 @@
+//! May the attempt have run? The one place that says so, whatever the protocol.
+//!
+//! A transport reports facts: how the attempt ended, whether all of the request has left, and
+//! whether the server disowned it. It never judges them. In doubt, an attempt may have run.
+
+use sableloom_types::Outcome;
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// With the answer made for it, whole.
+    Served,
+    /// With an answer that says no, or that can't be used: unreadable, too long, spoilt.
+    Fault,
+    /// Its connection ended or broke before a whole answer.
+    Broke,
+    /// No connection came up.
+    NoConnection,
+    /// The transport did not begin it: the request was over, or its server is to get nothing new.
+    NotBegun,
+    /// Its time was up.
+    TimeUp,
+    /// The decision module withdrew it.
+    Withdrawn,
+    /// The request was over, by another attempt's answer or because its client left.
+    Over,
+}
+
+/// What is known of an attempt that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Facts {
+    /// How it ended.
+    pub ended: Ended,
+    /// The last byte of the request has left on a connection. A server begins no request before its
+    /// last byte has come.
+    pub left_whole: bool,
+    /// The server stated that it never ran it: turned away unseen (`X-Never-Ran`), a stream refused
+    /// or past the last one processed (RFC 9113, sections 6.8 and 8.7).
+    pub disowned: bool,
+}
+
+/// The outcome that the facts prove, or else the one that allows for its having run.
+pub fn judge(facts: Facts) -> Outcome {
+    let Facts { ended, left_whole, disowned } = facts;
+    match (ended, left_whole) {
+        (Ended::Served, true) => Outcome::Ok,
+        // The server's word counts, but not against an answer that it made.
+        _ if disowned => Outcome::Full,
+        // An answer to a request that it could not have seen whole is not the one made for it.
+        (Ended::Served | Ended::Fault | Ended::Broke | Ended::TimeUp, false) => {
+            Outcome::ConnectFailed
+        }
+        (Ended::NoConnection, false) => Outcome::ConnectFailed,
+        (Ended::NotBegun | Ended::Withdrawn | Ended::Over, false) => Outcome::Moot,
+        (Ended::Fault, true) => Outcome::Error,
+        (Ended::TimeUp, true) => Outcome::Timeout,
+        (Ended::Withdrawn | Ended::Over, true) => Outcome::Cancelled,
+        // The last two contradict themselves: then nothing is proven.
+        (Ended::Broke | Ended::NoConnection | Ended::NotBegun, true) => Outcome::Reset,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ALL: [Ended; 8] = [
+        Ended::Served,
+        Ended::Fault,
+        Ended::Broke,
+        Ended::NoConnection,
+        Ended::NotBegun,
+        Ended::TimeUp,
+        Ended::Withdrawn,
+        Ended::Over,
+    ];
+
+    /// Every combination of facts, with what it must come to.
+    #[test]
+    fn the_whole_table() {
+        use Outcome::*;
+        // Not whole; whole; disowned and not whole; disowned and whole.
+        let table = [
+            (Ended::Served, [ConnectFailed, Ok, Full, Ok]),
+            (Ended::Fault, [ConnectFailed, Error, Full, Full]),
+            (Ended::Broke, [ConnectFailed, Reset, Full, Full]),
+            (Ended::NoConnection, [ConnectFailed, Reset, Full, Full]),
+            (Ended::NotBegun, [Moot, Reset, Full, Full]),
+            (Ended::TimeUp, [ConnectFailed, Timeout, Full, Full]),
+            (Ended::Withdrawn, [Moot, Cancelled, Full, Full]),
+            (Ended::Over, [Moot, Cancelled, Full, Full]),
+        ];
+        assert_eq!(table.map(|(ended, _)| ended), ALL);
+        for (ended, outcomes) in table {
+            let facts = [(false, false), (true, false), (false, true), (true, true)];
+            for ((left_whole, disowned), outcome) in facts.into_iter().zip(outcomes) {
+                let facts = Facts { ended, left_whole, disowned };
+                assert_eq!(judge(facts), outcome, "{facts:?}");
+            }
+        }
+    }
+
+    #[test]
+    fn never_ran_is_said_only_with_proof() {
+        for ended in ALL {
+            for (left_whole, disowned) in
+                [(false, false), (true, false), (false, true), (true, true)]
+            {
+                let outcome = judge(Facts { ended, left_whole, disowned });
+                let proof = !left_whole || disowned;
+                assert!(!outcome.never_ran() || proof, "{ended:?}: {outcome:?} without proof");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/lib.rs
@@ -0,0 +1,20 @@
+//! From a whole request over its attempts to exactly one final answer.
+//!
+//! [`Exchange`] owns the decision module of one pool of servers. It tells it what happens, carries
+//! out what it answers with, and is the one place that gives a request its final answer. It knows no
+//! protocol: a front hands it whole requests through [`Service`], a [`Transport`] carries single
+//! attempts, and a [`Source`] names the servers. Whether an attempt may have run is decided in
+//! [`fate`], from facts that transports report, and nowhere else.
+
+mod clock;
+mod exchange;
+pub mod fate;
+mod message;
+mod ports;
+mod task;
+
+pub use clock::{Clock, micros};
+pub use exchange::{Exchange, Options, longest_deadline};
+pub use message::{Answer, Asked, Fields, Message, Reply, Turned};
+pub use ports::{Call, Came, Entry, Line, Service, Sink, Source, Transport, Work};
+pub use task::Task;
--- /dev/null
+++ b/crates/exchange/src/message.rs
@@ -0,0 +1,136 @@
+//! Requests and answers in a form that belongs to no protocol.
+
+use std::any::Any;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use sableloom_types::{Effect, Time};
+
+/// Named values that go along with a request or an answer, in their order. Names are in lower case.
+/// All text lies in one buffer: what is kept of a request is two allocations, however many fields
+/// it has.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Fields {
+    text: Bytes,
+    /// Where each field's name and value end in the text.
+    ends: Vec<(u32, u32)>,
+}
+
+impl Fields {
+    /// The names and values that the function gives, twice over: first to measure them, then to copy
+    /// them into a buffer of that size. What does not fit into 4 GiB is left out.
+    pub fn collect<'a, I>(pairs: impl Fn() -> I) -> Self
+    where
+        I: Iterator<Item = (&'a [u8], &'a [u8])>,
+    {
+        let (mut bytes, mut count) = (0, 0);
+        for (name, value) in pairs() {
+            bytes += name.len() + value.len();
+            count += 1;
+        }
+        let (mut text, mut ends) = (BytesMut::with_capacity(bytes), Vec::with_capacity(count));
+        for (name, value) in pairs() {
+            let name_end = text.len() + name.len();
+            let (Ok(n), Ok(v)) = (u32::try_from(name_end), u32::try_from(name_end + value.len()))
+            else {
+                break;
+            };
+            text.extend_from_slice(name);
+            text.extend_from_slice(value);
+            ends.push((n, v));
+        }
+        Self { text: text.freeze(), ends }
+    }
+
+    /// Each name and value; a value shares the buffer.
+    pub fn iter(&self) -> impl Iterator<Item = (&[u8], Bytes)> {
+        let mut from = 0;
+        self.ends.iter().map(move |&(name, value)| {
+            let (start, name, value) = (from, name as usize, value as usize);
+            from = value;
+            (&self.text[start..name], self.text.slice(name..value))
+        })
+    }
+
+    /// The first value of a name.
+    pub fn get(&self, name: &str) -> Option<Bytes> {
+        self.iter().find(|(n, _)| *n == name.as_bytes()).map(|(_, value)| value)
+    }
+}
+
+/// A request as it goes on to servers, whole.
+pub struct Message {
+    /// Its id, as the client named it.
+    pub id: Bytes,
+    /// What a repeat does.
+    pub effect: Effect,
+    /// What it is about, in the form of a path with its query.
+    pub target: Bytes,
+    /// What else the client said of it, the id included.
+    pub fields: Fields,
+    /// Its body.
+    pub body: Bytes,
+    /// Whatever must be held for as long as the body is: a share of a budget.
+    pub hold: Option<Box<dyn Any>>,
+}
+
+/// What the decision module is told of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// Its class, by index.
+    pub class: usize,
+    /// Its tenant, by index.
+    pub tenant: usize,
+    /// Hash of what it is about, if that is known.
+    pub key: Option<u64>,
+    /// When its client stops waiting.
+    pub drop_dead: Time,
+}
+
+/// A server's answer, whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// What goes along with it.
+    pub fields: Fields,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// The final answer to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// What a server made for it.
+    Served(Answer),
+    /// It never ran and is harmless to ask again; perhaps with advice on when.
+    Refused(Option<Duration>),
+    /// It is given up, and may have run.
+    Failed,
+}
+
+/// Why a request is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turned {
+    /// Too many are open.
+    TooMany,
+    /// Its id is another's that is open.
+    SameId,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn fields_keep_names_values_and_order() {
+        let pairs: [(&[u8], &[u8]); 4] = [(b"a", b"1"), (b"", b""), (b"b", b"two"), (b"a", b"3")];
+        let fields = Fields::collect(|| pairs.into_iter());
+        let back: Vec<_> = fields.iter().collect();
+        assert_eq!(back.len(), 4);
+        for ((name, value), (n, v)) in pairs.iter().zip(&back) {
+            assert_eq!((*name, *value), (*n, &v[..]));
+        }
+        assert_eq!(fields.get("a").as_deref(), Some(&b"1"[..]));
+        assert_eq!(fields.get("c"), None);
+        assert_eq!(Fields::default().iter().count(), 0);
+    }
+}
--- a/crates/sableloom/src/frontend.rs
+++ b/crates/http1/src/front.rs
@@ -1,5 +1,6 @@
 //! Client connections: takes requests in whole, hands them to the node, writes the answers.
 
+use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::net::IpAddr;
@@ -21,16 +22,16 @@
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
 use sableloom_admission::{Admission, Arrival, Bounds, ConnId, Phase, Release, Then, Why};
-use sableloom_types::settings::{Effect, key_hash, span};
+use sableloom_exchange::{Answer as Made, Asked, Clock, Message, Reply, Service, Turned};
+use sableloom_types::settings::{Effect, Facts, key_hash, span};
 use sableloom_types::{Span, Time};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::spawn_local;
 use tokio::time::{timeout, timeout_at};
 
-use crate::config::{BODY_MAX, ClientLimits, HEAD_MAX};
-use crate::node::{Asked, Message, Node, Reply, Taken, Turned};
 use crate::wire::{Io, Wire};
+use crate::{BODY_MAX, HEAD_MAX, fields};
 
 /// From its first byte, and on a new connection from the accept, a request has so long to be whole.
 /// Guards against heads and bodies that don't end, trickle, or never begin; an honest client on a
@@ -189,9 +190,23 @@
     }
 }
 
+/// What clients may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Most connections.
+    pub places: usize,
+    /// Most of these that clients with requests can hold, where their own side is bounded lower:
+    /// those past it are shut out where this balancer can't see them.
+    pub asking: usize,
+    /// Bytes for bodies of requests, past what each connection has of its own.
+    pub bodies: usize,
+}
+
 /// The listening side of the balancer. Who holds a place is decided by [`Admission`].
 pub struct Frontend {
-    node: Rc<Node>,
+    service: Rc<dyn Service>,
+    facts: Rc<Facts>,
+    clock: Clock,
     admission: RefCell<Admission>,
     clients: RefCell<FxHashMap<ConnId, Rc<Client>>>,
     /// The descriptors of clients: a connection that makes room holds its own a little longer.
@@ -206,9 +221,15 @@
 }
 
 impl Frontend {
-    pub fn new(node: Rc<Node>, limits: &ClientLimits) -> Rc<Self> {
-        let shortest = node.facts.services.iter().map(|s| s.aim).fold(f64::INFINITY, f64::min);
-        let advice = &node.facts.policy_limits;
+    /// A front that hands its requests to this service.
+    pub fn new(
+        service: Rc<dyn Service>,
+        facts: Rc<Facts>,
+        clock: Clock,
+        limits: &Limits,
+    ) -> Rc<Self> {
+        let shortest = facts.services.iter().map(|s| s.aim).fold(f64::INFINITY, f64::min);
+        let advice = &facts.policy_limits;
         let bounds = Bounds {
             places: limits.places,
             asking: limits.asking,
@@ -219,8 +240,10 @@
             advice_most: span(if advice.retry_after { advice.max_retry_after } else { 0.0 }),
         };
         Rc::new(Self {
-            admission: RefCell::new(Admission::new(bounds, node.clock.now())),
-            node,
+            admission: RefCell::new(Admission::new(bounds, clock.now())),
+            service,
+            facts,
+            clock,
             clients: RefCell::default(),
             slots: Arc::new(Semaphore::new(limits.places)),
             door: Arc::new(Semaphore::new(DOOR)),
@@ -231,7 +254,7 @@
     }
 
     fn now(&self) -> Time {
-        self.node.clock.now()
+        self.clock.now()
     }
 
     /// Accepts until told otherwise.
@@ -265,7 +288,7 @@
                 }
                 Arrival::MakeRoom(id) => self.make_room(id),
                 Arrival::Wait(until) => {
-                    let until = self.node.clock.instant(until);
+                    let until = self.clock.instant(until);
                     let _ = timeout_at(until, self.changed.notified()).await;
                 }
                 Arrival::TurnAway(advice) => return self.turn_away(stream, advice).await,
@@ -478,18 +501,17 @@
     Answer { response, close: false }
 }
 
-fn served(headers: HeaderMap, body: Bytes) -> Answer {
-    let mut response = Response::new(body);
-    *response.headers_mut() = headers;
+fn served(made: Made) -> Answer {
+    let mut response = Response::new(made.body);
+    *response.headers_mut() = fields::headers(&made.fields);
     Answer { response, close: false }
 }
 
 async fn handle(frontend: &Frontend, client: &Client, request: Request<Incoming>) -> Answer {
-    let node = &frontend.node;
     // One that came with the request before it has a time limit of its own.
     client.tell(Admission::next_request);
     let begun = frontend.admission.borrow().begun(client.id).unwrap_or_else(|| frontend.now());
-    let until = node.clock.instant(begun) + TAKE;
+    let until = frontend.clock.instant(begun) + TAKE;
     let (head, body) = request.into_parts();
     if head.uri.path() == "/up" {
         return plain(match frontend.draining.get() {
@@ -497,7 +519,7 @@
             false => StatusCode::OK,
         });
     }
-    let wanted = match Wanted::read(node, &head.method, &head.uri, &head.headers) {
+    let wanted = match Wanted::read(&frontend.facts, &head.method, &head.uri, &head.headers) {
         Ok(wanted) => wanted,
         // What follows on this connection may be out of step with it.
         Err(status) => return plain(status).closing(),
@@ -513,23 +535,26 @@
         Err(_) => return plain(StatusCode::REQUEST_TIMEOUT).closing(),
     };
     // It counts from its last byte, also where that came behind another request.
-    let arrived = node.clock.at(client.wire.read_at.get());
+    let arrived = frontend.clock.at(client.wire.read_at.get());
     client.tell(Admission::taken);
-    let Wanted { class, tenant, key, expires, uri } = wanted;
+    let Wanted { id, class, tenant, key, expires, target } = wanted;
     let asked = Asked { class, tenant, key, drop_dead: arrived.plus(expires) };
-    let mut headers = head.headers;
-    strip_hop_by_hop(&mut headers);
-    let message = Message { method: head.method, uri, headers, body, _budget: budget };
-    let (taken, reply) = match node.request(asked, message) {
-        Ok(taken) => taken,
+    let message = Message {
+        id,
+        effect: frontend.facts.services[class].effect.into(),
+        target,
+        fields: fields::end_to_end(head.headers),
+        body,
+        hold: budget.map(|budget| Box::new(budget) as Box<dyn Any>),
+    };
+    let reply = match frontend.service.clone().call(asked, message) {
+        Ok(reply) => reply,
         Err(Turned::TooMany) => return plain(StatusCode::SERVICE_UNAVAILABLE),
         Err(Turned::SameId) => return plain(StatusCode::CONFLICT).closing(),
     };
-    let reply = reply.await;
-    drop::<Taken>(taken);
-    match reply {
-        Ok(Reply::Served(headers, body)) => served(headers, body),
-        Ok(Reply::Refused(advice)) => {
+    match reply.await {
+        Reply::Served(made) => served(made),
+        Reply::Refused(advice) => {
             let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
             if let Some(advice) = advice {
                 let seconds = format!("{:.3}", advice.as_secs_f64());
@@ -539,35 +564,35 @@
             }
             answer
         }
-        Ok(Reply::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY),
+        Reply::Failed => plain(StatusCode::BAD_GATEWAY),
     }
 }
 
 /// What a request's head asks for.
 struct Wanted {
+    id: Bytes,
     class: usize,
     tenant: usize,
     key: Option<u64>,
     expires: Span,
-    uri: Uri,
+    target: Bytes,
 }
 
 impl Wanted {
     fn read(
-        node: &Node,
+        facts: &Facts,
         method: &Method,
         uri: &Uri,
         headers: &HeaderMap,
     ) -> Result<Self, StatusCode> {
         let bad = StatusCode::BAD_REQUEST;
         let text = |name: &str| headers.get(name).map(|v| v.to_str().map_err(|_| bad)).transpose();
-        if text("x-trace-id")?.is_none_or(str::is_empty) {
-            return Err(bad);
-        }
+        let id = text("x-trace-id")?.filter(|id| !id.is_empty()).ok_or(bad)?;
+        let id = Bytes::copy_from_slice(id.as_bytes());
         let in_path = uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
         let name = text("x-qos")?.unwrap_or(in_path);
-        let class = node.facts.services.iter().position(|s| s.name == name).ok_or(bad)?;
-        let effect = node.facts.services[class].effect;
+        let class = facts.services.iter().position(|s| s.name == name).ok_or(bad)?;
+        let effect = facts.services[class].effect;
         let fits = match effect {
             Effect::Retryable => *method == Method::GET,
             Effect::Dedup => *method == Method::POST && headers.contains_key("idempotency-key"),
@@ -579,7 +604,7 @@
                 _ => StatusCode::METHOD_NOT_ALLOWED,
             });
         }
-        let tenants = &node.facts.tenants;
+        let tenants = &facts.tenants;
         let tenant = match text("x-customer")? {
             Some(name) if !tenants.is_empty() => {
                 tenants.iter().position(|t| t.name == name).ok_or(bad)?
@@ -591,35 +616,10 @@
             return Err(bad);
         }
         let key = text("x-object")?.map(key_hash);
-        // Upstreams get the origin form, whatever form the client chose.
-        let uri = uri.path_and_query().map_or(Uri::from_static("/"), |p| p.clone().into());
-        Ok(Self { class, tenant, key, expires: Span(expires * 1000), uri })
-    }
-}
-
-/// Removes what concerns one connection only, framing included.
-pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(',').map(|n| n.trim().to_ascii_lowercase()))
-        .collect();
-    // A header that carries the protocol is not given up, whatever the client lists.
-    for name in named.iter().filter(|n| !n.starts_with("x-") && *n != "idempotency-key") {
-        headers.remove(name);
-    }
-    for name in [
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "transfer-encoding",
-        "te",
-        "trailer",
-        "upgrade",
-        "expect",
-    ] {
-        headers.remove(name);
+        // Servers get the origin form, whatever form the client chose.
+        let target = uri.path_and_query().map_or("/", |p| p.as_str());
+        let target = Bytes::copy_from_slice(target.as_bytes());
+        Ok(Self { id, class, tenant, key, expires: Span(expires * 1000), target })
     }
 }
 
--- /dev/null
+++ b/crates/http1/src/lib.rs
@@ -0,0 +1,16 @@
+//! HTTP/1.1 (RFC 9112): the front that takes clients' requests, and the transport that carries
+//! attempts to servers. Bytes and time only; who is let in is decided by `sableloom-admission`, and
+//! everything about a request by the exchange.
+
+mod fields;
+mod front;
+mod upstream;
+mod wire;
+
+pub use front::{Frontend, Limits};
+pub use upstream::{Upstreams, report_text};
+
+/// The largest body, of a request or an answer, in bytes.
+pub const BODY_MAX: usize = 64 << 10;
+/// The largest head, and what is buffered of one connection at most, in bytes.
+pub const HEAD_MAX: usize = 32 << 10;
--- /dev/null
+++ b/crates/http1/src/upstream.rs
@@ -0,0 +1,358 @@
+//! Connections to servers and the attempts that go over them. What comes back is reported as facts;
+//! what they prove is the exchange's to say.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+use hyper_util::rt::TokioIo;
+use rustc_hash::FxHashSet;
+use sableloom_exchange::fate::Ended;
+use sableloom_exchange::{Answer, Call, Came, Line, Message, Task, Transport, Work};
+use sableloom_types::settings::{Facts, PolicyLimits, Reports, Stats};
+use sableloom_types::{Effect, Report, ServerId};
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::wire::{Io, Wire};
+use crate::{BODY_MAX, HEAD_MAX, fields};
+
+/// Part of the time after which upstreams close idle connections: some close sooner.
+const KEEP_OF_KEEPALIVE: f64 = 0.5;
+/// How long the last byte is kept back on a connection that has rested.
+const HOLD: Duration = Duration::from_millis(3);
+/// How long the rest of an answer that is not passed on may take before its connection is
+/// closed instead of kept.
+const REST: Duration = Duration::from_secs(1);
+/// How long a probe may take.
+const PROBE: Duration = Duration::from_secs(1);
+
+// ---------------------------------------------------------------- connections
+
+/// A connection to an upstream.
+struct Conn {
+    sender: SendRequest<Whole>,
+    wire: Rc<Wire>,
+    rested: Instant,
+    _driver: Task,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        // The driver's task is ended only when it is next looked at; until then nothing of a
+        // request that was given up may go out.
+        self.wire.cut();
+    }
+}
+
+/// The HTTP/1.1 transport: the connections to servers that carry no request, bounded with those
+/// that do by `slots`.
+pub struct Upstreams {
+    /// The longest idle first.
+    idle: RefCell<VecDeque<(ServerId, Conn)>>,
+    /// Servers that drain or are gone: their connections are not kept.
+    retired: RefCell<FxHashSet<ServerId>>,
+    slots: Arc<Semaphore>,
+    keep: Duration,
+    connect: Duration,
+    stats: Stats,
+}
+
+impl Upstreams {
+    /// A transport with at most so many connections.
+    pub fn new(most: usize, facts: &Facts) -> Rc<Self> {
+        let stated = |ms: f64, otherwise: f64| {
+            Duration::from_secs_f64(if ms > 0.0 { ms / 1000.0 } else { otherwise })
+        };
+        let limits: &PolicyLimits = &facts.policy_limits;
+        Rc::new(Self {
+            idle: RefCell::new(VecDeque::new()),
+            retired: RefCell::new(FxHashSet::default()),
+            slots: Arc::new(Semaphore::new(most)),
+            keep: stated(limits.keepalive, 15.0).mul_f64(KEEP_OF_KEEPALIVE),
+            connect: stated(limits.connect_timeout, 1.0),
+            stats: facts.stats.clone(),
+        })
+    }
+
+    /// Closes the idle connections to a server.
+    fn close(&self, server: ServerId) {
+        self.idle.borrow_mut().retain(|(s, _)| *s != server);
+    }
+
+    /// Closes what has been idle too long, or was ended by its upstream.
+    pub fn sweep(&self) {
+        let keep = self.keep;
+        self.idle.borrow_mut().retain(|(_, c)| c.rested.elapsed() < keep && c.wire.is_quiet());
+    }
+
+    /// The connection to this upstream that rested least.
+    fn take(&self, server: ServerId) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(i) = idle.iter().rposition(|(s, _)| *s == server) {
+            let (_, conn) = idle.remove(i)?;
+            // An end or a stray byte that is here already: hyper may not have been woken yet.
+            if conn.wire.is_quiet() && !conn.sender.is_closed() && conn.rested.elapsed() < self.keep
+            {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    fn is_retired(&self, server: ServerId) -> bool {
+        self.retired.borrow().contains(&server)
+    }
+
+    fn put(&self, server: ServerId, mut conn: Conn) {
+        if self.is_retired(server) {
+            return;
+        }
+        conn.rested = Instant::now();
+        self.idle.borrow_mut().push_back((server, conn));
+    }
+
+    /// A descriptor for a new connection, if need be the longest idle one's.
+    async fn slot(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(slot) = self.slots.clone().try_acquire_owned() {
+            return Some(slot);
+        }
+        self.idle.borrow_mut().pop_front();
+        self.slots.clone().acquire_owned().await.ok()
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Option<Conn> {
+        let end = Instant::now() + self.connect;
+        let slot = timeout_at(end, self.slot()).await.ok()??;
+        let stream = timeout_at(end, TcpStream::connect(to)).await.ok()?.ok()?;
+        let wire = Wire::new(stream, slot);
+        let io = TokioIo::new(Io { wire: wire.clone(), on_read: |_: &[u8]| () });
+        let (sender, connection) =
+            http1::Builder::new().max_buf_size(HEAD_MAX).handshake(io).await.ok()?;
+        Some(Conn { sender, wire, rested: Instant::now(), _driver: Task::spawn(connection) })
+    }
+}
+
+/// A request's body, sent again from the start by each attempt.
+struct Whole(Bytes);
+
+impl Body for Whole {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let data = std::mem::take(&mut self.0);
+        Poll::Ready((!data.is_empty()).then(|| Ok(Frame::data(data))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.0.len() as u64)
+    }
+}
+
+/// The request as hyper will write it, and how many bytes that makes. The method follows from the
+/// class, as it did at the client.
+fn request(message: &Message, left: Duration) -> Option<(Request<Whole>, u64)> {
+    let body = Whole(message.body.clone());
+    let length = body.size_hint().exact().unwrap_or(0);
+    let method = if message.effect == Effect::Safe { Method::GET } else { Method::POST };
+    let mut headers = fields::headers(&message.fields);
+    headers.insert("x-expires-in-ms", (left.as_millis() as u64).max(1).into());
+    if length > 0 || method == Method::POST {
+        headers.insert(header::CONTENT_LENGTH, length.into());
+    }
+    let uri = Uri::from_maybe_shared(message.target.clone()).ok()?;
+    let line = method.as_str().len() + uri.to_string().len() + 12;
+    let lines: usize = headers.iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
+    let bytes = (line + lines + 2) as u64 + length;
+    let mut request = Request::new(body);
+    *request.method_mut() = method;
+    *request.uri_mut() = uri;
+    *request.headers_mut() = headers;
+    Some((request, bytes))
+}
+
+// ---------------------------------------------------------------- attempts
+
+impl Transport for Upstreams {
+    fn attempt(self: Rc<Self>, call: Rc<Call>) -> Work<Came> {
+        Box::pin(async move { self.talk(&call).await })
+    }
+
+    fn probe(self: Rc<Self>, server: ServerId, to: SocketAddr) -> Work<Option<Report>> {
+        Box::pin(async move { timeout(PROBE, self.examine(server, to)).await.ok().flatten() })
+    }
+
+    fn retire(&self, server: ServerId, retired: bool) {
+        if !retired {
+            self.retired.borrow_mut().remove(&server);
+        } else if self.retired.borrow_mut().insert(server) {
+            self.close(server);
+        }
+    }
+
+    fn moved(&self, server: ServerId) {
+        self.close(server);
+    }
+
+    fn forget(&self, server: ServerId) {
+        self.retired.borrow_mut().remove(&server);
+        self.close(server);
+    }
+}
+
+impl Upstreams {
+    async fn talk(self: &Rc<Self>, call: &Call) -> Came {
+        let mut may_reuse = true;
+        loop {
+            let kept = if may_reuse { self.take(call.server) } else { None };
+            let reused = kept.is_some();
+            let conn = match kept {
+                Some(conn) => Some(conn),
+                None => self.connect(call.to).await,
+            };
+            let Some(mut conn) = conn else { return Came::nothing(Ended::NoConnection) };
+            // A connection may come up long after the send was decided.
+            if call.is_over() || self.is_retired(call.server) {
+                return Came::nothing(Ended::NotBegun);
+            }
+            let left = call.until.saturating_duration_since(Instant::now());
+            let Some((request, bytes)) = request(&call.message, left) else {
+                return Came::nothing(Ended::NotBegun);
+            };
+            // What is safe to repeat needs no proof that it never ran, and is not slowed down for
+            // one.
+            let hold = reused && call.message.effect != Effect::Safe;
+            conn.wire.begin(bytes, hold.then_some(HOLD));
+            call.goes_out_on(conn.wire.clone());
+            let answer = match conn.sender.send_request(request).await {
+                Ok(answer) => answer,
+                // A rested connection that its server had ended: nothing came of it, and the
+                // attempt has not been made yet.
+                Err(_) if reused && !conn.wire.all_written() => {
+                    may_reuse = false;
+                    continue;
+                }
+                Err(e) if e.is_parse() => return Came::nothing(Ended::Fault),
+                Err(_) => return Came::nothing(Ended::Broke),
+            };
+            return self.read(call.server, conn, answer).await;
+        }
+    }
+
+    /// Takes an answer in.
+    async fn read(
+        self: &Rc<Self>,
+        server: ServerId,
+        conn: Conn,
+        answer: Response<Incoming>,
+    ) -> Came {
+        let (head, mut body) = answer.into_parts();
+        let report = self.report(&head.headers);
+        let came = |ended| Came { report, ..Came::nothing(ended) };
+        if head.status != StatusCode::OK || !conn.wire.all_written() {
+            let may_disown = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::GATEWAY_TIMEOUT];
+            let never_ran = head.headers.get("x-never-ran").is_some_and(|v| v == "1");
+            if conn.wire.all_written() {
+                let pool = self.clone();
+                spawn_local(async move {
+                    if let Ok(true) = timeout(REST, discard(&mut body)).await {
+                        pool.put(server, conn);
+                    }
+                });
+            }
+            let disowned = never_ran && may_disown.contains(&head.status);
+            return Came { disowned, ..came(Ended::Fault) };
+        }
+        // The protocol has no longer answers: whoever announces or sends one has lost the thread.
+        if body.size_hint().exact().is_some_and(|n| n > BODY_MAX as u64) {
+            return came(Ended::Fault);
+        }
+        let mut held = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return came(Ended::Broke) };
+            let Ok(data) = frame.into_data() else { continue };
+            if held.len() + data.len() > BODY_MAX {
+                return came(Ended::Fault);
+            }
+            held.extend_from_slice(&data);
+        }
+        self.put(server, conn);
+        let answer = Answer { fields: fields::end_to_end(head.headers), body: held.freeze() };
+        Came { answer: Some(answer), ..came(Ended::Served) }
+    }
+
+    /// The load report on an answer, where the settings have such.
+    fn report(&self, headers: &HeaderMap) -> Report {
+        let header = headers.get("endpoint-load-metrics").and_then(|h| h.to_str().ok());
+        match header {
+            Some(text) if self.stats.how == Reports::Piggyback => report_text(&self.stats, text),
+            _ => Report::default(),
+        }
+    }
+
+    async fn examine(&self, server: ServerId, to: SocketAddr) -> Option<Report> {
+        let mut conn = match self.take(server) {
+            Some(conn) => conn,
+            None => self.connect(to).await?,
+        };
+        let silent = self.stats.how == Reports::Silent;
+        let path = if silent { "/alive" } else { "/metrics/load" };
+        let mut request = Request::new(Whole(Bytes::new()));
+        *request.uri_mut() = Uri::from_static(path);
+        request.headers_mut().insert(header::HOST, to.to_string().parse().ok()?);
+        conn.wire.begin(0, None);
+        let (head, body) = conn.sender.send_request(request).await.ok()?.into_parts();
+        let text = http_body_util::Limited::new(body, BODY_MAX).collect().await.ok()?.to_bytes();
+        self.put(server, conn);
+        let text = if silent { "" } else { std::str::from_utf8(&text).unwrap_or_default() };
+        (head.status == StatusCode::OK).then(|| report_text(&self.stats, text))
+    }
+}
+
+/// A load report in the form `TEXT inflight=7, util=0.61`; what makes no sense in it is skipped.
+pub fn report_text(stats: &Stats, text: &str) -> Report {
+    let pairs = text.trim().strip_prefix("TEXT").unwrap_or_default().split(',');
+    let value = |pair: &'_ str| -> Option<(usize, f64)> {
+        let (name, value) = pair.split_once('=')?;
+        let index = stats.names.iter().position(|n| n == name.trim())?;
+        Some((index, value.trim().parse().ok().filter(|v: &f64| v.is_finite())?))
+    };
+    let names = &stats.names;
+    stats.report(pairs.filter_map(value).map(|(i, v)| (names[i].as_str(), v)))
+}
+
+/// Reads a short body to its end, so that its connection can be used again.
+async fn discard(body: &mut Incoming) -> bool {
+    let mut left = BODY_MAX;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        let size = frame.data_ref().map_or(0, |d| d.len());
+        if size > left {
+            return false;
+        }
+        left -= size;
+    }
+    true
+}
--- a/crates/sableloom/src/wire.rs
+++ b/crates/http1/src/wire.rs
@@ -8,25 +8,25 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use sableloom_exchange::Line;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, Sleep, sleep};
 
 /// Most bytes that are taken in on a connection after its end was told.
 const DRAIN_MAX: usize = 256 << 10;
 
 /// What is known of one connection, shared by hyper's side and ours.
-pub struct Wire {
+pub(crate) struct Wire {
     stream: TcpStream,
     /// When bytes last came.
-    pub read_at: Cell<Instant>,
+    pub(crate) read_at: Cell<Instant>,
     /// When bytes last left.
-    pub wrote_at: Cell<Instant>,
+    pub(crate) wrote_at: Cell<Instant>,
     /// The peer does not take what is written.
-    pub blocked: Cell<bool>,
+    pub(crate) blocked: Cell<bool>,
     /// Bytes of the present request that have not left yet.
     left: Cell<u64>,
     /// Keeps the last byte of the present request back for this long.
@@ -41,7 +41,7 @@
 }
 
 impl Wire {
-    pub fn new(stream: TcpStream, slot: OwnedSemaphorePermit) -> Rc<Self> {
+    pub(crate) fn new(stream: TcpStream, slot: OwnedSemaphorePermit) -> Rc<Self> {
         // A request or answer goes out in one piece or waits for nothing: Nagle only delays.
         let _ = stream.set_nodelay(true);
         let now = Instant::now();
@@ -59,39 +59,34 @@
     /// A request of this many bytes is about to be written. With `hold`, its last byte is kept
     /// back for so long: a rested connection that the peer resets at the first byte breaks
     /// before the request is whole, so that it provably never ran.
-    pub fn begin(&self, bytes: u64, hold: Option<Duration>) {
+    pub(crate) fn begin(&self, bytes: u64, hold: Option<Duration>) {
         self.left.set(bytes);
         *self.hold.borrow_mut() = hold.map(Hold::For);
     }
 
-    /// Whether the last byte of the present request has left.
-    pub fn all_written(&self) -> bool {
-        self.left.get() == 0
-    }
-
     /// Whether the peer has said nothing at all on this idle connection: neither its end nor
     /// a stray byte, whatever hyper has not yet been woken for.
-    pub fn is_quiet(&self) -> bool {
+    pub(crate) fn is_quiet(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
         let peeked = SockRef::from(&self.stream).peek(&mut byte);
         matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Whether bytes of the peer wait to be read.
-    pub fn has_input(&self) -> bool {
+    pub(crate) fn has_input(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
         matches!(SockRef::from(&self.stream).peek(&mut byte), Ok(n) if n > 0)
     }
 
     /// Ends both directions at once: nothing more goes out, however long the socket lives on.
-    pub fn cut(&self) {
+    pub(crate) fn cut(&self) {
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Both);
     }
 
     /// Ends our direction and takes in what the peer still sends, for a while: closing with
     /// unread bytes would send a reset, and the reset would eat an answer on its way. A peer that
     /// goes on sending whatever it was told gets the reset: reading it all would cost the others.
-    pub async fn drain(&self, at_most: Duration) {
+    pub(crate) async fn drain(&self, at_most: Duration) {
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
         let rest = async {
             let mut scratch = [0; 4096];
@@ -112,10 +107,16 @@
     }
 }
 
+impl Line for Wire {
+    fn all_written(&self) -> bool {
+        self.left.get() == 0
+    }
+}
+
 /// hyper's handle on a [`Wire`]; `on_read` hears of bytes as they come.
-pub struct Io<F> {
-    pub wire: Rc<Wire>,
-    pub on_read: F,
+pub(crate) struct Io<F> {
+    pub(crate) wire: Rc<Wire>,
+    pub(crate) on_read: F,
 }
 
 impl<F: Fn(&[u8]) + Unpin> AsyncRead for Io<F> {
@@ -189,19 +190,3 @@
         Poll::Ready(Ok(()))
     }
 }
-
-/// A task that lives no longer than its owner. hyper may keep a connection whose answer was
-/// given up open for as long as its peer says nothing.
-pub struct Task(AbortHandle);
-
-impl Task {
-    pub fn spawn<T: 'static>(work: impl Future<Output = T> + 'static) -> Self {
-        Self(spawn_local(work).abort_handle())
-    }
-}
-
-impl Drop for Task {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
--- a/crates/sableloom/src/config.rs
+++ b/crates/sableloom/src/config.rs
@@ -3,15 +3,11 @@
 use std::env;
 use std::net::SocketAddr;
 
+use sableloom_discovery::Snapshot;
+use sableloom_http1::Limits as ClientLimits;
 use sableloom_types::settings::Facts;
 use serde::Deserialize;
 
-use crate::discovery::Snapshot;
-
-/// The largest body, of a request or an answer, that the protocol has.
-pub const BODY_MAX: usize = 64 << 10;
-/// The largest head, and what is buffered of one connection at most.
-pub const HEAD_MAX: usize = 32 << 10;
 /// Descriptors kept for all that is neither a client nor an upstream: standard streams, the
 /// listener, the event queue, discovery.
 const SOCKETS_OTHER: usize = 24;
@@ -48,17 +44,6 @@
     pub upstreams: usize,
 }
 
-/// What clients may hold.
-pub struct ClientLimits {
-    /// Most connections.
-    pub places: usize,
-    /// Most of these with requests: the platform lets clients hold a third of all descriptors for
-    /// them, so that more are shut out where this balancer can't see them.
-    pub asking: usize,
-    /// Bytes for bodies of requests, past what each connection has of its own.
-    pub bodies: usize,
-}
-
 impl Config {
     /// Reads the file that `ROUTER_CONFIG` names; its siblings stand in where it is silent.
     pub fn load() -> Result<Self, String> {
@@ -118,6 +103,7 @@
             facts: file.settings,
             clients: ClientLimits {
                 places: sockets - SOCKETS_OTHER - upstreams,
+                // The platform lets clients hold a third of all descriptors for requests.
                 asking: sockets / 3,
                 bodies: (memory_mb << 20) / 8,
             },
--- /dev/null
+++ b/crates/sableloom/src/platform.rs
@@ -0,0 +1,134 @@
+//! One balancer with its parts put together, and the platform's mode of running it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sableloom_discovery::Discovery;
+use sableloom_exchange::{Clock, Exchange, Options, Sink, Task, longest_deadline};
+use sableloom_http1::{Frontend, Upstreams};
+use sableloom_types::ListKind;
+use sableloom_types::settings::RegistryMode;
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::config::Config;
+
+/// Connections that the kernel holds until they are accepted: a crowd comes within a second.
+const BACKLOG: i32 = 4096;
+/// How often connections are looked over for what has gone stale.
+const SWEEP: Duration = Duration::from_millis(250);
+/// After SIGTERM connections may still come for 0.4 s; then only what is under way is finished.
+const ACCEPT_ON: Duration = Duration::from_millis(600);
+/// The balancer ends so long past the longest deadline, short of the 0.7 s that it is given.
+const LAST_CALL: Duration = Duration::from_millis(600);
+
+/// A balancer that takes requests.
+pub struct Running {
+    /// Where it listens.
+    pub address: SocketAddr,
+    exchange: Rc<Exchange>,
+    discovery: Rc<Discovery>,
+    frontend: Rc<Frontend>,
+    listener: Rc<TcpListener>,
+    accepting: Task,
+    longest: Duration,
+}
+
+impl Running {
+    /// Puts the parts together and begins to listen; to be called on a `LocalSet`.
+    pub fn start(config: Config) -> Result<Self, String> {
+        let listener =
+            listen(&config).map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
+        let address = listener.local_addr().map_err(|e| format!("field `listen`: {e}"))?;
+        let Config { discovery, seed, known, facts, clients, upstreams, .. } = config;
+        let (facts, clock) = (Rc::new(facts), Clock::new());
+        let longest = longest_deadline(&facts);
+        let transport = Upstreams::new(upstreams, &facts);
+        let pushed = facts.registry_mode == RegistryMode::Automatic;
+        let discovery = Discovery::new(discovery, pushed, known.as_ref().map(|k| k.revision));
+        let exchange = Exchange::start(Options {
+            facts: facts.clone(),
+            seed,
+            clock,
+            transport: transport.clone(),
+            source: discovery.clone(),
+        })
+        .map_err(|e| format!("field `settings`: {e}"))?;
+        if let Some(known) = known {
+            exchange.clone().listed(ListKind::Restored, known.entries());
+        }
+        let frontend = Frontend::new(exchange.clone(), facts, clock, &clients);
+        let listener = Rc::new(listener);
+        let accepting = Task::spawn(frontend.clone().accept(listener.clone()));
+        let front = frontend.clone();
+        spawn_local(async move {
+            loop {
+                sleep(SWEEP).await;
+                front.sweep();
+                transport.sweep();
+            }
+        });
+        Ok(Self { address, exchange, discovery, frontend, listener, accepting, longest })
+    }
+
+    /// Takes no new work, finishes what was taken, and ends.
+    pub async fn finish(self) {
+        let told = Instant::now();
+        self.frontend.drain();
+        sleep_until(told + ACCEPT_ON).await;
+        // From here on new connections are refused, and none is left on which a request could come
+        // that there is no time to answer.
+        drop(self.accepting);
+        drop(self.listener);
+        self.frontend.close_spare();
+        let end = told + self.longest + LAST_CALL;
+        while self.frontend.connections() > 0 && Instant::now() < end {
+            sleep(Duration::from_millis(5)).await;
+            self.frontend.close_spare();
+        }
+        let (connections, open) = (self.frontend.connections(), self.exchange.open());
+        eprintln!("sableloom: ending; {connections} connections, {open} open");
+    }
+}
+
+/// Runs the balancer that `ROUTER_CONFIG` describes until SIGTERM.
+pub async fn run() -> Result<(), String> {
+    let config = Config::load()?;
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let running = Running::start(config)?;
+    eprintln!("sableloom: listening on {}", running.address);
+    let discovery = running.discovery.clone();
+    spawn_local(async move {
+        // It comes while the file may be half replaced or wrong: then what was told before holds.
+        while hangup.recv().await.is_some() {
+            match Config::reread_discovery() {
+                Ok(at) => {
+                    eprintln!("sableloom: SIGHUP; discovery is at {at}");
+                    discovery.move_to(at);
+                }
+                Err(e) => eprintln!("sableloom: SIGHUP; nothing is changed: {e}"),
+            }
+        }
+    });
+    term.recv().await;
+    let (connections, open) = (running.frontend.connections(), running.exchange.open());
+    eprintln!("sableloom: SIGTERM; {connections} connections, {open} open");
+    running.finish().await;
+    Ok(())
+}
+
+fn listen(config: &Config) -> std::io::Result<TcpListener> {
+    let socket =
+        Socket::new(Domain::for_address(config.listen), Type::STREAM, Some(Protocol::TCP))?;
+    // A restart finds the old process's connections still winding down.
+    socket.set_reuse_address(true)?;
+    socket.bind(&config.listen.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    TcpListener::from_std(socket.into())
+}
--- a/crates/sableloom/tests/sockets/bad_input.rs
+++ b/crates/sableloom/tests/sockets/bad_input.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 
-use crate::helper::*;
+use sableloom_testkit::*;
 
 /// The program's exit code and all that it says, for a configuration that it can't run with.
 fn refused(config: &str) -> String {
--- a/crates/sableloom/tests/sockets/bulk.rs
+++ b/crates/sableloom/tests/sockets/bulk.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::helper::*;
+use sableloom_testkit::*;
 
 /// Past what the protocol has.
 const LONG_BODY: usize = 3 << 30;
--- a/crates/sableloom/tests/sockets/discovery.rs
+++ b/crates/sableloom/tests/sockets/discovery.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 
-use crate::helper::*;
+use sableloom_testkit::*;
 
 fn asking(discovery: &Discovery, upstreams: &[&Peer], mode: &str) -> Value {
     let mut config = config(&upstreams.iter().map(|u| u.address).collect::<Vec<_>>());
--- a/crates/sableloom/tests/sockets/main.rs
+++ b/crates/sableloom/tests/sockets/main.rs
@@ -1,7 +1,5 @@
 //! The balancer as a process, between scripted clients, upstreams and discovery.
 
-mod helper;
-
 mod bad_input;
 mod bulk;
 mod discovery;
--- a/crates/sableloom/tests/sockets/outcomes.rs
+++ b/crates/sableloom/tests/sockets/outcomes.rs
@@ -3,7 +3,7 @@
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
-use crate::helper::*;
+use sableloom_testkit::*;
 
 /// An unsafe request whose first attempt meets `fault`, then a safe one. Returns the status of
 /// the first, and the ids that the upstream was sent.
--- a/crates/sableloom/tests/sockets/reload.rs
+++ b/crates/sableloom/tests/sockets/reload.rs
@@ -2,7 +2,7 @@
 
 use serde_json::json;
 
-use crate::helper::*;
+use sableloom_testkit::*;
 
 #[test]
 fn sighup_moves_the_watch_and_asks_for_the_whole_list() {
--- a/crates/sableloom/tests/sockets/requests.rs
+++ b/crates/sableloom/tests/sockets/requests.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::helper::*;
+use sableloom_testkit::*;
 
 #[test]
 fn each_effect_is_served() {
--- a/crates/sableloom/tests/sockets/shutdown.rs
+++ b/crates/sableloom/tests/sockets/shutdown.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::helper::*;
+use sableloom_testkit::*;
 
 /// An upstream that answers when the test says so.
 fn waiting() -> (Peer, std::sync::mpsc::Receiver<Message>, std::sync::mpsc::Sender<()>) {
--- a/crates/sableloom/tests/sockets/helper.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,7 +1,9 @@
-//! The other ends of a balancer's sockets, scripted: upstreams, clients and discovery.
+//! The other ends of a balancer's sockets, scripted: servers, clients and discovery; and the
+//! program itself as a process between them. Loopback only. It shares no code with the program.
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -20,18 +22,22 @@
     pub line: String,
     /// Names in lower case.
     pub headers: Vec<(String, String)>,
+    /// Its body.
     pub body: Vec<u8>,
     /// Bytes of it on the wire.
     pub bytes: usize,
 }
 
 impl Message {
+    /// The first value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
+    /// The status of an answer.
     pub fn status(&self) -> u16 {
         self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
     }
+    /// The id of a request.
     pub fn id(&self) -> &str {
         self.header("x-trace-id").expect("an id")
     }
@@ -44,12 +50,14 @@
 }
 
 impl Conn {
+    /// An end that waits for [`LONG`] at most.
     pub fn new(stream: TcpStream) -> Self {
         stream.set_read_timeout(Some(LONG)).expect("a time-out");
         stream.set_nodelay(true).expect("no delay");
         Self { stream, ahead: Vec::new() }
     }
 
+    /// Writes all of it, if the other end is there.
     pub fn write(&mut self, bytes: impl AsRef<[u8]>) {
         // The other end may have left: what comes of it is the test's to judge.
         let _ = self.stream.write_all(bytes.as_ref());
@@ -142,6 +150,7 @@
         while self.ahead.len() < n && self.more() > 0 {}
     }
 
+    /// Ends this direction.
     pub fn finish(&mut self) {
         let _ = self.stream.shutdown(Shutdown::Write);
     }
@@ -153,20 +162,24 @@
     }
 }
 
+/// An answer with a length.
 pub fn answer(status: &str, headers: &str, body: &str) -> String {
     format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
 }
 
+/// A good answer.
 pub fn ok(body: &str) -> String {
     answer("200 OK", "", body)
 }
 
 /// Serves each connection by a script, on a thread of its own, with the connection's number.
 pub struct Peer {
+    /// Where it listens.
     pub address: SocketAddr,
 }
 
 impl Peer {
+    /// Listens on a free port.
     pub fn start(script: impl Fn(usize, Conn) + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
@@ -221,21 +234,26 @@
 
 /// A discovery service that answers each call by what the test sends.
 pub struct Discovery {
+    /// Where it listens.
     pub address: SocketAddr,
+    /// Each call's request line, and where to say what it is told.
     pub calls: Receiver<(String, Sender<Told>)>,
 }
 
 /// What discovery says to a call.
 pub enum Told {
+    /// A whole answer.
     Whole(Value),
     /// So many bytes of it, then the end.
     Cut(Value, usize),
     /// So many bytes of it, then nothing.
     Stalled(Value, usize),
+    /// An error.
     Down,
 }
 
 impl Discovery {
+    /// Listens on a free port.
     pub fn start() -> Self {
         let (told, calls) = channel();
         let told = std::sync::Mutex::new(told);
@@ -267,11 +285,13 @@
     }
 }
 
+/// One server in a list.
 pub fn entry(id: &str, at: SocketAddr, phase: &str) -> Value {
     json!({"id": id, "host_port": at.to_string(), "locality": "a", "flavor": "m", "cell": 0,
            "phase": phase, "size": 1.0, "up_since_ms": 0})
 }
 
+/// A list, or a change to one.
 pub fn list(revision: u64, complete: bool, members: &[Value]) -> Value {
     json!({"revision": revision, "complete": complete, "members": members})
 }
@@ -308,6 +328,7 @@
 pub struct Balancer {
     child: Child,
     log: BufReader<ChildStderr>,
+    /// Where it listens.
     pub address: SocketAddr,
 }
 
@@ -315,6 +336,7 @@
 pub struct ConfigFile(std::path::PathBuf);
 
 impl ConfigFile {
+    /// A file with this configuration.
     pub fn new(config: &Value) -> Self {
         Self::of(&config.to_string())
     }
@@ -328,6 +350,7 @@
         file
     }
 
+    /// Replaces what it holds.
     pub fn write(&self, config: &str) {
         fs::write(&self.0, config).expect("a file");
     }
@@ -344,8 +367,15 @@
     spawn_on(&ConfigFile::of(config))
 }
 
+/// The program under test: cargo builds it beside the folder of the test that runs.
+pub fn program() -> PathBuf {
+    let test = env::current_exe().expect("a test program");
+    let target = test.parent().and_then(Path::parent).expect("a folder of tests");
+    target.join("sableloom")
+}
+
 fn spawn_on(file: &ConfigFile) -> (Child, BufReader<ChildStderr>) {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_sableloom"));
+    let mut command = Command::new(program());
     command
         .env("ROUTER_CONFIG", &file.0)
         .env_remove("ROUTER_LISTEN")
@@ -358,10 +388,12 @@
 }
 
 impl Balancer {
+    /// A balancer with this configuration.
     pub fn start(config: Value) -> Self {
         Self::from_file(&ConfigFile::new(&config))
     }
 
+    /// A balancer that reads this file, also later.
     pub fn from_file(file: &ConfigFile) -> Self {
         let (child, mut log) = spawn_on(file);
         let mut line = String::new();
@@ -371,10 +403,12 @@
         Self { child, log, address }
     }
 
+    /// A balancer before these servers.
     pub fn before(upstreams: &[&Peer]) -> Self {
         Self::start(config(&upstreams.iter().map(|u| u.address).collect::<Vec<_>>()))
     }
 
+    /// A new connection to it.
     pub fn client(&self) -> Conn {
         Conn::new(TcpStream::connect(self.address).expect("a connection"))
     }
@@ -386,10 +420,12 @@
         client.message().expect("an answer")
     }
 
+    /// Sends SIGTERM.
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
 
+    /// Sends SIGHUP.
     pub fn hang_up(&self) {
         self.signal("-HUP");
     }
--- a/crates/types/src/settings.rs
+++ b/crates/types/src/settings.rs
@@ -118,6 +118,16 @@
     Fragile,
 }
 
+impl From<Effect> for d::Effect {
+    fn from(effect: Effect) -> Self {
+        match effect {
+            Effect::Retryable => d::Effect::Safe,
+            Effect::Dedup => d::Effect::Keyed,
+            Effect::Fragile => d::Effect::Unsafe,
+        }
+    }
+}
+
 /// Which upstreams drop each other's repeats.
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "lowercase")]
@@ -257,11 +267,7 @@
             deadline: span(s.deadline),
             worth: s.importance,
             late_worth: s.late_value,
-            effect: match s.effect {
-                Effect::Retryable => d::Effect::Safe,
-                Effect::Dedup => d::Effect::Keyed,
-                Effect::Fragile => d::Effect::Unsafe,
-            },
+            effect: s.effect.into(),
             group: match s.group {
                 Group::All => d::Group::All,
                 Group::Zone => d::Group::Zone,
