Rest again what could not be told to close; a full door lets a free place go first

A connection that was chosen to close while its answer was blocked stayed down as closing without being told, with no time limit. And while those turned away held the door, the next in line waited for it though a place had become free.

Change: what is reported blocked or unread rests again, with its time; an arrival that is to be turned away waits for the door or for a change, whichever comes first.

Measured: the first gap's test fails without the change's reprieve in the module; all admission tests pass.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -390,10 +390,7 @@
 
     /// Bytes have come for it that are not read yet: it is spared until they are.
     pub fn unread(&mut self, now: Time, id: ConnId) {
-        let Some(conn) = self.conns.get(&id).copied() else { return };
-        if conn.stage == Stage::Closing {
-            self.turn(id, Stage::Waits(rests(conn.answers)), now);
-        }
+        self.reprieve(now, id);
         self.change(id, |conn| conn.unread = true);
     }
 
@@ -473,13 +470,22 @@
         self.turn(id, next, now);
     }
 
-    /// Its peer takes nothing of what is written.
+    /// Its peer takes nothing of what is written. If it was to close, that is off: it was not told.
     pub fn blocked(&mut self, now: Time, id: ConnId) {
+        self.reprieve(now, id);
         if self.conns.get(&id).is_some_and(|c| c.blocked.is_none()) {
             self.change(id, |conn| conn.blocked = Some(now));
         }
     }
 
+    fn reprieve(&mut self, now: Time, id: ConnId) {
+        if let Some(conn) = self.conns.get(&id).copied()
+            && conn.stage == Stage::Closing
+        {
+            self.turn(id, Stage::Waits(rests(conn.answers)), now);
+        }
+    }
+
     /// What was written has left after all.
     pub fn unblocked(&mut self, id: ConnId) {
         if self.conns.get(&id).is_some_and(|c| c.blocked.is_some()) {
--- a/crates/admission/tests/rules.rs
+++ b/crates/admission/tests/rules.rs
@@ -343,3 +343,23 @@
     }
     assert!(admission.no_descriptor(later).iter().all(|r| !told.iter().any(|t| t.id == r.id)));
 }
+
+#[test]
+fn one_that_was_to_close_and_could_not_rests_again_and_ends_in_time() {
+    let now = Time(1_000_000_000);
+    let mut admission = Admission::new(Bounds { asking: 3, ..bounds() }, now);
+    let (first, second) = (admit(&mut admission, now, 1), admit(&mut admission, now, 1));
+    assert!(ask(&mut admission, now, first));
+    admission.heard(now, second);
+    admission.taken(now, second);
+    let later = now.plus(Span(5 * MS));
+    assert_eq!(admission.answering(later, second), Then::Instead(first));
+    // Its socket shows that its answer has not left: it is not told to close.
+    admission.blocked(later, first);
+    admission.unblocked(first);
+    admission.answered(later, second, true);
+    admission.closed(later, second);
+    assert_eq!(admission.phase(first), Some(Phase::Resting));
+    let end = later.plus(Span(2501 * MS));
+    assert_eq!(admission.tick(end), [Release { id: first, why: Why::Rested }]);
+}
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -291,7 +291,13 @@
                     let until = self.clock.instant(until);
                     let _ = timeout_at(until, self.changed.notified()).await;
                 }
-                Arrival::TurnAway(advice) => return self.turn_away(stream, advice).await,
+                // Those turned away before it may hold the door: then a place may come first.
+                Arrival::TurnAway(advice) => tokio::select! {
+                    Ok(door) = self.door.clone().acquire_owned() => {
+                        return turn_away(stream, advice, door).await;
+                    }
+                    () = self.changed.notified() => {}
+                },
             }
         }
     }
@@ -342,24 +348,6 @@
         }
     }
 
-    /// Tells a client that was not let in that it is harmless to come back, and when.
-    async fn turn_away(&self, stream: TcpStream, advice: Span) {
-        let Ok(place) = self.door.clone().acquire_owned().await else { return };
-        let advice = match advice.0 {
-            0 => String::new(),
-            us => format!("Retry-After: {:.3}\r\n", us as f64 / 1e6),
-        };
-        let answer = format!(
-            "HTTP/1.1 503 Service Unavailable\r\n{advice}Content-Length: 0\r\n\
-             Connection: close\r\n\r\n"
-        );
-        // It fits into the empty buffer of a new connection, or the client is gone.
-        if stream.writable().await.is_ok() && stream.try_write(answer.as_bytes()).is_ok() {
-            let wire = Wire::new(stream, place);
-            spawn_local(async move { wire.drain(LINGER).await });
-        }
-    }
-
     /// Ends connections whose time is over.
     pub fn sweep(&self) {
         for client in self.clients.borrow().values() {
@@ -398,6 +386,23 @@
     }
 }
 
+/// Tells a client that was not let in that it is harmless to come back, and when.
+async fn turn_away(stream: TcpStream, advice: Span, door: OwnedSemaphorePermit) {
+    let advice = match advice.0 {
+        0 => String::new(),
+        us => format!("Retry-After: {:.3}\r\n", us as f64 / 1e6),
+    };
+    let answer = format!(
+        "HTTP/1.1 503 Service Unavailable\r\n{advice}Content-Length: 0\r\n\
+         Connection: close\r\n\r\n"
+    );
+    // It fits into the empty buffer of a new connection, or the client is gone.
+    if stream.writable().await.is_ok() && stream.try_write(answer.as_bytes()).is_ok() {
+        let wire = Wire::new(stream, door);
+        spawn_local(async move { wire.drain(LINGER).await });
+    }
+}
+
 /// Whether an accept failed for want of descriptors or memory.
 fn is_shortage(e: &std::io::Error) -> bool {
     // ENOMEM, ENFILE, EMFILE, ENOBUFS (accept(2)).
