--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -442,8 +442,9 @@
     pub fn answering(&mut self, now: Time, id: ConnId) -> Then {
         let Some(conn) = self.conns.get(&id) else { return Then::Close };
         let kind = rests(conn.answers + 1);
-        let resting = self.resting();
-        if resting < self.may_rest() {
+        // It is busy itself until it rests.
+        let busy = self.busy - usize::from(conn.stage == Stage::Busy);
+        if self.resting() < self.may_rest(busy) {
             return Then::Keep;
         }
         let own = self.habits[kind as usize].worth(0);
@@ -550,7 +551,7 @@
             releases.push(Release { id: *id, why });
         }
         // Room that new clients are about to need.
-        for _ in self.may_rest()..self.resting() {
+        for _ in self.may_rest(self.busy)..self.resting() {
             let least = self.spare.least(now, &self.habits, &[Kind::Once, Kind::Again]);
             let Some((_, id)) = least else { break };
             self.closing(now, id, false);
@@ -567,10 +568,10 @@
 
     /// How many may rest: what is left of the places that clients can hold after those busy and
     /// those kept free for new clients.
-    fn may_rest(&self) -> usize {
+    fn may_rest(&self, busy: usize) -> usize {
         let asking = self.bounds.asking.min(self.limit) as f64;
         let free = (self.rate * HEADROOM_S).clamp(asking * HEADROOM_LEAST, asking * HEADROOM_MOST);
-        ((asking - free) as usize).saturating_sub(self.busy)
+        ((asking - free) as usize).saturating_sub(busy)
     }
 
     // ------------------------------------------------------------ books
--- a/crates/http1/src/wire.rs
+++ b/crates/http1/src/wire.rs
@@ -204,3 +204,71 @@
         Poll::Ready(Ok(()))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::sync::Arc;
+
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::sync::Semaphore;
+
+    use super::*;
+
+    /// A wire, hyper's handle on it, and its peer.
+    async fn pair() -> (Rc<Wire>, Io<impl Fn(&[u8])>, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let at = listener.local_addr().expect("an address");
+        let stream = TcpStream::connect(at).await.expect("a connection");
+        let (peer, _) = listener.accept().await.expect("a peer");
+        let slot = Arc::new(Semaphore::new(1)).try_acquire_owned().expect("a slot");
+        let wire = Wire::new(stream, slot);
+        (wire.clone(), Io { wire, on_read: |_: &[u8]| {} }, peer)
+    }
+
+    async fn all_that_came(mut peer: TcpStream) -> Vec<u8> {
+        let mut came = Vec::new();
+        peer.read_to_end(&mut came).await.expect("an end without a reset");
+        came
+    }
+
+    #[tokio::test(flavor = "current_thread")]
+    async fn nothing_more_of_a_request_leaves_once_it_is_over() {
+        let (wire, mut io, peer) = pair().await;
+        let over = Rc::new(Cell::new(false));
+        wire.begin(10, None, Some(over.clone()));
+        io.write_all(b"12345").await.expect("the first half leaves");
+        over.set(true);
+        let refused = io.write_all(b"67890").await.expect_err("the second half stays");
+        assert_eq!(refused.kind(), io::ErrorKind::ConnectionAborted);
+        assert!(!wire.all_written());
+        wire.cut();
+        assert_eq!(all_that_came(peer).await, b"12345");
+    }
+
+    #[tokio::test(flavor = "current_thread")]
+    async fn the_last_byte_is_kept_back_and_not_sent_if_the_request_is_over_by_then() {
+        let (wire, mut io, peer) = pair().await;
+        let over = Rc::new(Cell::new(false));
+        wire.begin(5, Some(Duration::from_millis(1)), Some(over.clone()));
+        let n = io.write(b"12345").await.expect("all but the last leave");
+        assert_eq!(n, 4);
+        over.set(true);
+        io.write_all(b"5").await.expect_err("the last stays");
+        wire.cut();
+        assert_eq!(all_that_came(peer).await, b"1234");
+    }
+
+    #[tokio::test(flavor = "current_thread")]
+    async fn what_is_over_once_it_has_left_whole_is_no_error() {
+        let (wire, mut io, peer) = pair().await;
+        let over = Rc::new(Cell::new(false));
+        wire.begin(5, Some(Duration::from_millis(1)), Some(over.clone()));
+        io.write_all(b"12345").await.expect("it leaves");
+        assert!(wire.all_written());
+        over.set(true);
+        io.write_all(b"").await.expect("nothing is left to refuse");
+        wire.cut();
+        assert_eq!(all_that_came(peer).await, b"12345");
+    }
+}
