--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -13,7 +13,7 @@
 use sableloom_policy::decide::Balancer;
 use sableloom_types::settings::{Facts, RegistryMode, span, stable_hash, time};
 use sableloom_types::{
-    Action, Answer as Told, ListKind, Member, Outcome, Report, Request, RequestId, ServerId,
+    Action, Answer as Told, Entry, ListKind, Member, Outcome, Report, Request, RequestId, ServerId,
     SettingsError, Span, Status, Time,
 };
 use tokio::sync::{Notify, oneshot};
@@ -23,7 +23,7 @@
 use crate::clock::{Clock, micros};
 use crate::fate::{self, Ended};
 use crate::message::{Asked, Message, Reply, Turned};
-use crate::ports::{Call, Came, Entry, Service, Sink, Source, Transport, Work};
+use crate::ports::{Call, Came, Service, Sink, Source, Transport, Work};
 
 /// An open request.
 struct Job {
@@ -93,6 +93,7 @@
     facts: Rc<Facts>,
     transport: Rc<dyn Transport>,
     source: Rc<dyn Source>,
+    closed: Cell<bool>,
 }
 
 impl Exchange {
@@ -111,7 +112,8 @@
             next_upstream: 0,
         };
         let state = RefCell::new(state);
-        let exchange = Rc::new(Self { state, clock, facts, transport, source });
+        let closed = Cell::new(false);
+        let exchange = Rc::new(Self { state, clock, facts, transport, source, closed });
         exchange.tell(|balancer, now, out| balancer.start(now, out));
         if exchange.facts.registry_mode == RegistryMode::Automatic {
             exchange.source.clone().subscribe(exchange.clone());
@@ -163,6 +165,7 @@
                     attempt.cancel.notify_one();
                 }
             }
+            Action::Arm { .. } if self.closed.get() => {}
             Action::Arm { token, at } => {
                 let (exchange, at) = (self.clone(), self.clock.instant(at));
                 spawn_local(async move {
@@ -210,6 +213,12 @@
         }
     }
 
+    /// Ends the module's timers, after which nothing holds the exchange any more. To be called once
+    /// it is given no more requests and none is open.
+    pub fn close(&self) {
+        self.closed.set(true);
+    }
+
     /// Requests that are taken and not over.
     pub fn open(&self) -> usize {
         self.state.borrow().jobs.values().filter(|job| !job.over.get()).count()
@@ -337,13 +346,15 @@
         let members: Vec<Member> = {
             let mut state = self.state.borrow_mut();
             if kind != ListKind::Update {
-                // What a whole list leaves out is gone.
-                for (id, upstream) in &mut state.upstreams {
-                    upstream.listed = false;
-                    self.transport.retire(*id, true);
-                }
+                state.upstreams.values_mut().for_each(|upstream| upstream.listed = false);
+            }
+            let members = entries.iter().map(|entry| self.member(&mut state, entry)).collect();
+            // What a whole list leaves out is gone. Only that: to retire all of them first would
+            // close every connection at rest, and each whole list would cost as many new ones.
+            for (id, _) in state.upstreams.iter().filter(|(_, upstream)| !upstream.listed) {
+                self.transport.retire(*id, true);
             }
-            entries.iter().map(|entry| self.member(&mut state, entry)).collect()
+            members
         };
         // Idle connections to a server that drains only hold up its end.
         for member in &members {
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -64,6 +64,8 @@
     pub id: Bytes,
     /// What a repeat does.
     pub effect: Effect,
+    /// What is done with its target, as HTTP's methods are named.
+    pub verb: Bytes,
     /// What it is about, in the form of a path with its query.
     pub target: Bytes,
     /// What else the client said of it, the id included.
@@ -114,6 +116,8 @@
     TooMany,
     /// Its id is another's that is open.
     SameId,
+    /// No route leads it to a server: the status that says so, numbered as HTTP's are.
+    NoRoute(u16),
 }
 
 #[cfg(test)]
--- a/crates/exchange/src/ports.rs
+++ b/crates/exchange/src/ports.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
-use sableloom_types::{ListKind, Report, ServerId, Status};
+use sableloom_types::{Entry, ListKind, Report, ServerId};
 use tokio::time::Instant;
 
 use crate::fate::Ended;
@@ -110,27 +110,6 @@
     fn forget(&self, server: ServerId);
 }
 
-/// A server as a source names it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    /// Its name, the same for as long as it is the same machine.
-    pub id: Box<str>,
-    /// Where it is.
-    pub address: SocketAddr,
-    /// Its zone, named as in the settings.
-    pub zone: Box<str>,
-    /// Its machine kind, named as in the settings.
-    pub kind: Box<str>,
-    /// Its cell.
-    pub cell: u32,
-    /// Its state.
-    pub status: Status,
-    /// Its relative size.
-    pub size: f64,
-    /// When it last started, in Unix milliseconds; 0 for long ago.
-    pub up_since_ms: f64,
-}
-
 /// What a source tells.
 pub trait Sink {
     /// A list has come, or part of one.
--- a/crates/exchange/tests/simulation.rs
+++ b/crates/exchange/tests/simulation.rs
@@ -201,6 +201,7 @@
         let message = Message {
             id: id.clone(),
             effect,
+            verb: Bytes::from_static(b"GET"),
             target: Bytes::from_static(b"/x"),
             fields: Fields::default(),
             body: Bytes::new(),
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -13,7 +13,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
@@ -206,6 +206,9 @@
 pub struct Frontend {
     service: Rc<dyn Service>,
     facts: Rc<Facts>,
+    dialect: Dialect,
+    /// Requests that were given an id here.
+    named: Cell<u64>,
     clock: Clock,
     admission: RefCell<Admission>,
     clients: RefCell<FxHashMap<ConnId, Rc<Client>>>,
@@ -225,6 +228,7 @@
     pub fn new(
         service: Rc<dyn Service>,
         facts: Rc<Facts>,
+        dialect: Dialect,
         clock: Clock,
         limits: &Limits,
     ) -> Rc<Self> {
@@ -243,6 +247,8 @@
             admission: RefCell::new(Admission::new(bounds, clock.now())),
             service,
             facts,
+            dialect,
+            named: Cell::new(0),
             clock,
             clients: RefCell::default(),
             slots: Arc::new(Semaphore::new(limits.places)),
@@ -484,7 +490,7 @@
         let value = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, value);
     }
-    response.map(|data| Content { data, client, ends })
+    response.map(|data| Content { data: Full::new(data), client, ends })
 }
 
 /// An answer, and whether its connection ends with it.
@@ -517,14 +523,18 @@
     client.tell(Admission::next_request);
     let begun = frontend.admission.borrow().begun(client.id).unwrap_or_else(|| frontend.now());
     let until = frontend.clock.instant(begun) + TAKE;
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    // A target in absolute form names the host, whatever the field says (RFC 9112, section 3.2.2).
+    if let Some(host) = head.uri.authority().and_then(|a| HeaderValue::from_str(a.as_str()).ok()) {
+        head.headers.insert(header::HOST, host);
+    }
     if head.uri.path() == "/up" {
         return plain(match frontend.draining.get() {
             true => StatusCode::SERVICE_UNAVAILABLE,
             false => StatusCode::OK,
         });
     }
-    let wanted = match Wanted::read(&frontend.facts, &head.method, &head.uri, &head.headers) {
+    let wanted = match Wanted::read(frontend, &head.method, &head.uri, &head.headers) {
         Ok(wanted) => wanted,
         // What follows on this connection may be out of step with it.
         Err(status) => return plain(status).closing(),
@@ -547,6 +557,7 @@
     let message = Message {
         id,
         effect: frontend.facts.services[class].effect.into(),
+        verb: Bytes::copy_from_slice(head.method.as_str().as_bytes()),
         target,
         fields: fields::end_to_end(head.headers),
         body,
@@ -556,6 +567,9 @@
         Ok(reply) => reply,
         Err(Turned::TooMany) => return plain(StatusCode::SERVICE_UNAVAILABLE),
         Err(Turned::SameId) => return plain(StatusCode::CONFLICT).closing(),
+        Err(Turned::NoRoute(status)) => {
+            return plain(StatusCode::from_u16(status).unwrap_or(StatusCode::NOT_FOUND));
+        }
     };
     match reply.await {
         Reply::Served(made) => served(made),
@@ -573,6 +587,64 @@
     }
 }
 
+/// What is expected of requests.
+#[derive(Clone, Debug)]
+pub enum Dialect {
+    /// The platform's: each has an id and a time, and the effect of its class fixes its method.
+    Platform,
+    /// Any client's: what a request does not say is made up here. For each class, the methods that
+    /// its requests may have.
+    Open(Vec<Vec<Method>>),
+}
+
+/// The class of a request: the one that it names in `X-Qos`, or in the first part of its path;
+/// where any client may come, else the first that has its method.
+pub fn class_of(
+    facts: &Facts,
+    dialect: &Dialect,
+    method: &Method,
+    uri: &Uri,
+    headers: &HeaderMap,
+) -> Result<usize, StatusCode> {
+    let bad = StatusCode::BAD_REQUEST;
+    let named = headers.get("x-qos").map(|v| v.to_str().map_err(|_| bad)).transpose()?;
+    let in_path = uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+    let known = |name: &str| facts.services.iter().position(|s| s.name == name);
+    let keyed = headers.contains_key("idempotency-key");
+    match dialect {
+        Dialect::Platform => {
+            let class = known(named.unwrap_or(in_path)).ok_or(bad)?;
+            let effect = facts.services[class].effect;
+            let fits = match effect {
+                Effect::Retryable => *method == Method::GET,
+                Effect::Dedup => *method == Method::POST && keyed,
+                Effect::Fragile => *method == Method::POST,
+            };
+            match effect {
+                _ if fits => Ok(class),
+                Effect::Dedup if *method == Method::POST => Err(bad),
+                _ => Err(StatusCode::METHOD_NOT_ALLOWED),
+            }
+        }
+        Dialect::Open(methods) => {
+            let has = |class: &usize| methods[*class].contains(method);
+            let not_allowed = StatusCode::METHOD_NOT_ALLOWED;
+            let class = match named {
+                Some(name) => known(name).ok_or(bad)?,
+                None => match known(in_path) {
+                    Some(class) => class,
+                    None => (0..methods.len()).find(has).ok_or(not_allowed)?,
+                },
+            };
+            match facts.services[class].effect {
+                _ if !has(&class) => Err(not_allowed),
+                Effect::Dedup if !keyed => Err(bad),
+                _ => Ok(class),
+            }
+        }
+    }
+}
+
 /// What a request's head asks for.
 struct Wanted {
     id: Bytes,
@@ -585,30 +657,24 @@
 
 impl Wanted {
     fn read(
-        facts: &Facts,
+        frontend: &Frontend,
         method: &Method,
         uri: &Uri,
         headers: &HeaderMap,
     ) -> Result<Self, StatusCode> {
+        let (facts, dialect) = (&frontend.facts, &frontend.dialect);
         let bad = StatusCode::BAD_REQUEST;
         let text = |name: &str| headers.get(name).map(|v| v.to_str().map_err(|_| bad)).transpose();
-        let id = text("x-trace-id")?.filter(|id| !id.is_empty()).ok_or(bad)?;
-        let id = Bytes::copy_from_slice(id.as_bytes());
-        let in_path = uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let name = text("x-qos")?.unwrap_or(in_path);
-        let class = facts.services.iter().position(|s| s.name == name).ok_or(bad)?;
-        let effect = facts.services[class].effect;
-        let fits = match effect {
-            Effect::Retryable => *method == Method::GET,
-            Effect::Dedup => *method == Method::POST && headers.contains_key("idempotency-key"),
-            Effect::Fragile => *method == Method::POST,
+        let id = match (text("x-trace-id")?.filter(|id| !id.is_empty()), dialect) {
+            (Some(id), _) => Bytes::copy_from_slice(id.as_bytes()),
+            (None, Dialect::Platform) => return Err(bad),
+            // It is for this balancer alone: no other one's requests are told apart by it.
+            (None, Dialect::Open(_)) => {
+                frontend.named.set(frontend.named.get() + 1);
+                Bytes::from(format!(" {}", frontend.named.get()))
+            }
         };
-        if !fits {
-            return Err(match effect {
-                Effect::Dedup if *method == Method::POST => bad,
-                _ => StatusCode::METHOD_NOT_ALLOWED,
-            });
-        }
+        let class = class_of(facts, dialect, method, uri, headers)?;
         let tenants = &facts.tenants;
         let tenant = match text("x-customer")? {
             Some(name) if !tenants.is_empty() => {
@@ -616,7 +682,11 @@
             }
             _ => 0,
         };
-        let expires: i64 = text("x-expires-in-ms")?.and_then(|t| t.parse().ok()).ok_or(bad)?;
+        let expires: i64 = match (text("x-expires-in-ms")?, dialect) {
+            (Some(text), _) => text.parse().map_err(|_| bad)?,
+            (None, Dialect::Platform) => return Err(bad),
+            (None, Dialect::Open(_)) => facts.services[class].deadline as i64,
+        };
         if !(1..=EXPIRES_MAX_MS).contains(&expires) {
             return Err(bad);
         }
@@ -663,7 +733,7 @@
 
 /// An answer's body on its way to the client.
 struct Content {
-    data: Bytes,
+    data: Full<Bytes>,
     client: Rc<Client>,
     ends: bool,
 }
@@ -674,18 +744,17 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let data = std::mem::take(&mut self.data);
-        Poll::Ready((!data.is_empty()).then(|| Ok(Frame::data(data))))
+        Pin::new(&mut self.data).poll_frame(cx)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.data.is_empty()
+        self.data.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.data.len() as u64)
+        self.data.size_hint()
     }
 }
 
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -7,6 +7,6 @@
 mod upstream;
 mod wire;
 
-pub use front::{Frontend, Limits};
-pub use upstream::{Upstreams, report_text};
+pub use front::{Dialect, Frontend, Limits, class_of};
+pub use upstream::{Budget, Upstreams, report_text};
 pub use wire::{BODY_MAX, HEAD_MAX};
--- a/crates/http1/src/upstream.rs
+++ b/crates/http1/src/upstream.rs
@@ -3,17 +3,14 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http_body::{Body, Frame, SizeHint};
-use http_body_util::BodyExt;
+use http_body::Body;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
@@ -59,34 +56,64 @@
     }
 }
 
-/// The HTTP/1.1 transport: the connections to servers that carry no request, bounded with those
-/// that do by `slots`.
+/// The descriptors for connections to servers, of all pools together. A pool that needs one takes
+/// that of the longest idle connection, whichever pool has it.
+pub struct Budget {
+    slots: Arc<Semaphore>,
+    users: RefCell<Vec<Weak<Upstreams>>>,
+}
+
+impl Budget {
+    /// At most so many connections.
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Self { slots: Arc::new(Semaphore::new(most)), users: RefCell::default() })
+    }
+
+    async fn slot(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(slot) = self.slots.clone().try_acquire_owned() {
+            return Some(slot);
+        }
+        let users: Vec<_> = self.users.borrow().iter().filter_map(Weak::upgrade).collect();
+        let longest = users.iter().filter_map(|user| Some((user.longest_idle()?, user)));
+        if let Some((_, user)) = longest.min_by_key(|(rested, _)| *rested) {
+            user.idle.borrow_mut().pop_front();
+        }
+        self.slots.clone().acquire_owned().await.ok()
+    }
+}
+
+/// The HTTP/1.1 transport: the connections to servers that carry no request.
 pub struct Upstreams {
     /// The longest idle first.
     idle: RefCell<VecDeque<(ServerId, Conn)>>,
     /// Servers that drain or are gone: their connections are not kept.
     retired: RefCell<FxHashSet<ServerId>>,
-    slots: Arc<Semaphore>,
+    budget: Rc<Budget>,
     keep: Duration,
     connect: Duration,
     stats: Stats,
 }
 
 impl Upstreams {
-    /// A transport with at most so many connections.
-    pub fn new(most: usize, facts: &Facts) -> Rc<Self> {
+    /// A transport whose connections count against this budget.
+    pub fn new(budget: Rc<Budget>, facts: &Facts) -> Rc<Self> {
         let stated = |ms: f64, otherwise: f64| {
             Duration::from_secs_f64(if ms > 0.0 { ms / 1000.0 } else { otherwise })
         };
         let limits: &PolicyLimits = &facts.policy_limits;
-        Rc::new(Self {
+        let upstreams = Rc::new(Self {
             idle: RefCell::new(VecDeque::new()),
             retired: RefCell::new(FxHashSet::default()),
-            slots: Arc::new(Semaphore::new(most)),
+            budget,
             keep: stated(limits.keepalive, 15.0).mul_f64(KEEP_OF_KEEPALIVE),
             connect: stated(limits.connect_timeout, 1.0),
             stats: facts.stats.clone(),
-        })
+        });
+        let mut users = upstreams.budget.users.borrow_mut();
+        users.retain(|user| user.strong_count() > 0);
+        users.push(Rc::downgrade(&upstreams));
+        drop(users);
+        upstreams
     }
 
     /// Closes the idle connections to a server.
@@ -126,18 +153,13 @@
         self.idle.borrow_mut().push_back((server, conn));
     }
 
-    /// A descriptor for a new connection, if need be the longest idle one's.
-    async fn slot(&self) -> Option<OwnedSemaphorePermit> {
-        if let Ok(slot) = self.slots.clone().try_acquire_owned() {
-            return Some(slot);
-        }
-        self.idle.borrow_mut().pop_front();
-        self.slots.clone().acquire_owned().await.ok()
+    fn longest_idle(&self) -> Option<Instant> {
+        self.idle.borrow().front().map(|(_, conn)| conn.rested)
     }
 
     async fn connect(&self, to: SocketAddr) -> Option<Conn> {
         let end = Instant::now() + self.connect;
-        let slot = timeout_at(end, self.slot()).await.ok()??;
+        let slot = timeout_at(end, self.budget.slot()).await.ok()??;
         let stream = timeout_at(end, TcpStream::connect(to)).await.ok()?.ok()?;
         let wire = Wire::new(stream, slot);
         let io = TokioIo::new(Io { wire: wire.clone(), on_read: |_: &[u8]| () });
@@ -148,35 +170,13 @@
 }
 
 /// A request's body, sent again from the start by each attempt.
-struct Whole(Bytes);
-
-impl Body for Whole {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let data = std::mem::take(&mut self.0);
-        Poll::Ready((!data.is_empty()).then(|| Ok(Frame::data(data))))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.0.is_empty()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.0.len() as u64)
-    }
-}
+type Whole = Full<Bytes>;
 
-/// The request as hyper will write it, and how many bytes that makes. The method follows from the
-/// class, as it did at the client.
+/// The request as hyper will write it, and how many bytes that makes.
 fn request(message: &Message, left: Duration) -> Option<(Request<Whole>, u64)> {
-    let body = Whole(message.body.clone());
+    let body = Whole::new(message.body.clone());
     let length = body.size_hint().exact().unwrap_or(0);
-    let method = if message.effect == Effect::Safe { Method::GET } else { Method::POST };
+    let method = Method::from_bytes(&message.verb).ok()?;
     let mut headers = fields::headers(&message.fields);
     headers.insert("x-expires-in-ms", (left.as_millis() as u64).max(1).into());
     if length > 0 || method == Method::POST {
@@ -319,7 +319,7 @@
         };
         let silent = self.stats.how == Reports::Silent;
         let path = if silent { "/alive" } else { "/metrics/load" };
-        let mut request = Request::new(Whole(Bytes::new()));
+        let mut request = Request::new(Whole::default());
         *request.uri_mut() = Uri::from_static(path);
         request.headers_mut().insert(header::HOST, to.to_string().parse().ok()?);
         conn.wire.begin(0, None, None);
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -116,8 +116,11 @@
     Ok(settings)
 }
 
-/// T_QoS: one target for all, the mean of the class aims.
+/// T_QoS: one target for all, as stated or the mean of the class aims.
 fn t_qos(settings: &Settings) -> f64 {
+    if let Some(stated) = settings.t_qos.filter(|t| t.0 > 0) {
+        return stated.f();
+    }
     settings.classes.iter().map(|c| c.aim.f()).sum::<f64>() / settings.classes.len() as f64
 }
 
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -45,6 +45,7 @@
         },
         cross_zone_price: 0.0,
         warm_keys: false,
+        t_qos: None,
     }
 }
 
--- /dev/null
+++ b/crates/routes/tests/property.rs
@@ -0,0 +1,130 @@
+//! The compiled table against a naive model: rules tried one by one, in order. `SEED=n` replays one.
+
+use oorandom::Rand64;
+use sableloom_routes::*;
+
+const SEEDS: u64 = 2000;
+
+/// Few letters, so that patterns overlap, contain each other and meet.
+fn word(rng: &mut Rand64, most: u64) -> String {
+    let letters = ["a", "b", "A", ".", "/", "%"];
+    let n = rng.rand_range(0..most + 1);
+    (0..n).map(|_| letters[rng.rand_range(0..letters.len() as u64) as usize]).collect()
+}
+
+fn some<T>(rng: &mut Rand64, most: u64, mut one: impl FnMut(&mut Rand64) -> T) -> Vec<T> {
+    let n = rng.rand_range(0..most + 1);
+    (0..n).map(|_| one(rng)).collect()
+}
+
+fn rule(rng: &mut Rand64) -> Rule {
+    Rule {
+        hosts: some(rng, 2, |rng| match rng.rand_range(0..2) {
+            0 => Host::Exact(word(rng, 4)),
+            _ => Host::Under(word(rng, 3)),
+        }),
+        paths: some(rng, 2, |rng| {
+            let text = word(rng, 4);
+            match rng.rand_range(0..3) {
+                0 => Path::Exact(text),
+                1 => Path::Prefix(text),
+                _ => Path::Suffix(text),
+            }
+        }),
+        methods: some(rng, 1, |rng| ["GET", "POST"][rng.rand_range(0..2) as usize].into()),
+        headers: some(rng, 1, |rng| Header {
+            name: "x".into(),
+            value: (rng.rand_range(0..2) == 0).then(|| "1".into()),
+        }),
+        classes: some(rng, 1, |rng| rng.rand_range(0..3) as usize),
+    }
+}
+
+/// The model: no table, no walk, and a reading of the host of its own.
+fn naive(
+    rules: &[Rule],
+    host: &str,
+    path: &str,
+    method: &str,
+    class: usize,
+    x: &[&str],
+) -> Option<usize> {
+    let name = host.split(':').next().unwrap_or_default().to_lowercase();
+    let name = name.strip_suffix('.').unwrap_or(&name).to_string();
+    rules.iter().position(|rule| {
+        let host = |h: &Host| match h {
+            Host::Exact(e) => name == e.to_lowercase(),
+            Host::Under(u) => {
+                let end = format!(".{}", u.to_lowercase());
+                name.ends_with(&end) && name.len() > end.len()
+            }
+        };
+        let path = |p: &Path| match p {
+            Path::Exact(t) => path == t,
+            Path::Prefix(t) => path.starts_with(t.as_str()),
+            Path::Suffix(t) => path.ends_with(t.as_str()),
+        };
+        let header = |h: &Header| match &h.value {
+            None => !x.is_empty(),
+            Some(v) => x.contains(&v.as_str()),
+        };
+        (rule.hosts.is_empty() || rule.hosts.iter().any(host))
+            && (rule.paths.is_empty() || rule.paths.iter().any(path))
+            && (rule.methods.is_empty() || rule.methods.iter().any(|m| m == method))
+            && (rule.classes.is_empty() || rule.classes.contains(&class))
+            && rule.headers.iter().all(header)
+    })
+}
+
+fn check(seed: u64) -> usize {
+    let mut rng = Rand64::new(u128::from(seed));
+    let rules = some(&mut rng, 12, rule);
+    let table = Table::compile(rules.clone()).expect("few rules");
+    let mut met = 0;
+    for _ in 0..60 {
+        let host = word(&mut rng, 6) + ["", ":80"][rng.rand_range(0..2) as usize];
+        let path = word(&mut rng, 6);
+        let method = ["GET", "POST"][rng.rand_range(0..2) as usize];
+        let class = rng.rand_range(0..3) as usize;
+        let x = some(&mut rng, 2, |rng| ["1", "2"][rng.rand_range(0..2) as usize]);
+        let has = |name: &str, value: Option<&str>| {
+            name == "x" && value.map_or(!x.is_empty(), |v| x.contains(&v))
+        };
+        let head = Head {
+            host: host.as_bytes(),
+            path: path.as_bytes(),
+            method: method.as_bytes(),
+            class,
+            header: &has,
+        };
+        let expected = naive(&rules, &host, &path, method, class, &x);
+        let found = table.find(&head);
+        assert_eq!(
+            found, expected,
+            "SEED={seed}: {host:?} {path:?} {method} {class} {x:?}\n{rules:#?}"
+        );
+        // What is told of a rule agrees with what was decided.
+        for rule in 0..rules.len() {
+            let one = naive(&rules[rule..=rule], &host, &path, method, class, &x);
+            assert_eq!(
+                table.why_not(rule, &head).is_none(),
+                one.is_some(),
+                "SEED={seed} rule {rule}"
+            );
+        }
+        met += usize::from(found.is_some());
+    }
+    met
+}
+
+#[test]
+fn the_table_agrees_with_the_naive_model() {
+    if let Some(seed) = std::env::var("SEED").ok().and_then(|s| s.parse().ok()) {
+        check(seed);
+        return;
+    }
+    let met: usize = (0..SEEDS).map(check).sum();
+    // Neither nothing nor all of it met a rule: both ends are tried.
+    let all = SEEDS as usize * 60;
+    assert!(met > all / 10 && met < all * 9 / 10, "{met} of {all}");
+}
--- a/crates/sableloom/src/config.rs
+++ b/crates/sableloom/src/config.rs
@@ -10,7 +10,7 @@
 
 /// Descriptors kept for all that is neither a client nor an upstream: standard streams, the
 /// listener, the event queue, discovery.
-const SOCKETS_OTHER: usize = 24;
+pub const SOCKETS_OTHER: usize = 24;
 /// Fewest descriptors and least memory that the balancer can work in.
 const SOCKETS_LEAST: usize = 64;
 const MEMORY_LEAST_MB: usize = 24;
@@ -96,23 +96,32 @@
             hex => u64::from_str_radix(hex, 16)
                 .map_err(|_| format!("field `seed`: not up to 16 hex digits: {hex:?}"))?,
         };
-        // Two fifths for upstreams: each connection carries one request at a time, and a third of
-        // all descriptors may belong to clients that wait for one. Failure: with fewer, requests
-        // waited here for a descriptor, and the upstream was blamed that could not be reached.
-        let upstreams = (sockets - SOCKETS_OTHER) * 2 / 5;
+        let (clients, upstreams) = split(memory_mb, sockets, SOCKETS_OTHER);
         Ok(Self {
             listen: address("listen", file.listen, "ROUTER_LISTEN")?,
             discovery: address("discovery", file.discovery, "ROUTER_DISCOVERY")?,
             seed,
             known: file.known,
             facts: file.settings,
-            clients: ClientLimits {
-                places: sockets - SOCKETS_OTHER - upstreams,
-                // The platform lets clients hold a third of all descriptors for requests.
-                asking: sockets / 3,
-                bodies: (memory_mb << 20) / 8,
-            },
+            clients,
             upstreams,
         })
     }
 }
+
+/// What clients may hold of these limits, and the most connections to servers. `other` descriptors
+/// are neither's.
+pub fn split(memory_mb: usize, sockets: usize, other: usize) -> (ClientLimits, usize) {
+    let sockets_left = sockets.saturating_sub(other);
+    // Two fifths for upstreams: each connection carries one request at a time, and a third of
+    // all descriptors may belong to clients that wait for one. Failure: with fewer, requests
+    // waited here for a descriptor, and the upstream was blamed that could not be reached.
+    let upstreams = sockets_left * 2 / 5;
+    let clients = ClientLimits {
+        places: sockets_left - upstreams,
+        // The platform lets clients hold a third of all descriptors for requests.
+        asking: sockets / 3,
+        bodies: (memory_mb << 20) / 8,
+    };
+    (clients, upstreams)
+}
--- a/crates/sableloom/src/main.rs
+++ b/crates/sableloom/src/main.rs
@@ -1,8 +1,10 @@
 //! sableloom: a load balancer for services whose answers are worth nothing when late.
 
+mod check;
 mod config;
 mod demo;
 mod platform;
+mod serve;
 
 use std::process::ExitCode;
 
@@ -25,6 +27,13 @@
     /// Runs a balancer before three stand-in points nodes, with real requests, and shows what came
     /// of them
     Demo(demo::Options),
+    /// Runs a balancer as a site's configuration says: listeners, classes, pools, routes, files of
+    /// servers. SIGHUP reads it again, SIGTERM ends it
+    Serve(serve::Options),
+    /// Says all that is wrong with a site's configuration and its files of servers
+    Check(check::CheckOptions),
+    /// Tells which route, pool and servers a request would meet, and why
+    Route(check::RouteOptions),
 }
 
 fn main() -> ExitCode {
@@ -38,6 +47,9 @@
         match arguments.command {
             None => platform::run().await,
             Some(Command::Demo(options)) => demo::run(options).await,
+            Some(Command::Serve(options)) => serve::run(options).await,
+            Some(Command::Check(options)) => check::check(&options),
+            Some(Command::Route(options)) => check::route(&options),
         }
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/sableloom/src/platform.rs
+++ b/crates/sableloom/src/platform.rs
@@ -6,7 +6,7 @@
 
 use sableloom_discovery::Discovery;
 use sableloom_exchange::{Clock, Exchange, Options, Sink, Task, longest_deadline};
-use sableloom_http1::{Frontend, Upstreams};
+use sableloom_http1::{Budget, Dialect, Frontend, Upstreams};
 use sableloom_types::ListKind;
 use sableloom_types::settings::RegistryMode;
 use socket2::{Domain, Protocol, Socket, Type};
@@ -20,34 +20,64 @@
 /// Connections that the kernel holds until they are accepted: a crowd comes within a second.
 const BACKLOG: i32 = 4096;
 /// How often connections are looked over for what has gone stale.
-const SWEEP: Duration = Duration::from_millis(250);
+pub const SWEEP: Duration = Duration::from_millis(250);
 /// After SIGTERM connections may still come for 0.4 s; then only what is under way is finished.
 const ACCEPT_ON: Duration = Duration::from_millis(600);
 /// The balancer ends so long past the longest deadline, short of the 0.7 s that it is given.
 const LAST_CALL: Duration = Duration::from_millis(600);
 
+/// Where requests come in, until no more are wanted.
+pub struct Door {
+    pub frontend: Rc<Frontend>,
+    accepting: Vec<Task>,
+    longest: Duration,
+}
+
+impl Door {
+    /// Accepts on these listeners. `longest` is the longest that a client waits.
+    pub fn open(frontend: Rc<Frontend>, listeners: Vec<TcpListener>, longest: Duration) -> Self {
+        let accept = |listener| Task::spawn(frontend.clone().accept(Rc::new(listener)));
+        Self { accepting: listeners.into_iter().map(accept).collect(), frontend, longest }
+    }
+
+    /// Takes no new work, finishes what was taken, and ends. `open` counts what is open.
+    pub async fn finish(self, open: impl Fn() -> usize) {
+        let told = Instant::now();
+        self.frontend.drain();
+        sleep_until(told + ACCEPT_ON).await;
+        // From here on new connections are refused, and none is left on which a request could come
+        // that there is no time to answer. The listeners go with the tasks that accept on them.
+        drop(self.accepting);
+        self.frontend.close_spare();
+        let end = told + self.longest + LAST_CALL;
+        while self.frontend.connections() > 0 && Instant::now() < end {
+            sleep(Duration::from_millis(5)).await;
+            self.frontend.close_spare();
+        }
+        let (connections, open) = (self.frontend.connections(), open());
+        eprintln!("sableloom: ending; {connections} connections, {open} open");
+    }
+}
+
 /// A balancer that takes requests.
 pub struct Running {
     /// Where it listens.
     pub address: SocketAddr,
     exchange: Rc<Exchange>,
     discovery: Rc<Discovery>,
-    frontend: Rc<Frontend>,
-    listener: Rc<TcpListener>,
-    accepting: Task,
-    longest: Duration,
+    door: Door,
 }
 
 impl Running {
     /// Puts the parts together and begins to listen; to be called on a `LocalSet`.
     pub fn start(config: Config) -> Result<Self, String> {
         let listener =
-            listen(&config).map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
+            listen(config.listen).map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
         let address = listener.local_addr().map_err(|e| format!("field `listen`: {e}"))?;
         let Config { discovery, seed, known, facts, clients, upstreams, .. } = config;
         let (facts, clock) = (Rc::new(facts), Clock::new());
         let longest = longest_deadline(&facts);
-        let transport = Upstreams::new(upstreams, &facts);
+        let transport = Upstreams::new(Budget::new(upstreams), &facts);
         let pushed = facts.registry_mode == RegistryMode::Automatic;
         let discovery = Discovery::new(discovery, pushed, known.as_ref().map(|k| k.revision));
         let exchange = Exchange::start(Options {
@@ -62,37 +92,22 @@
         if let Some(known) = known {
             exchange.clone().listed(ListKind::Restored, known.entries());
         }
-        let frontend = Frontend::new(exchange.clone(), facts, clock, &clients);
-        let listener = Rc::new(listener);
-        let accepting = Task::spawn(frontend.clone().accept(listener.clone()));
-        let front = frontend.clone();
+        let frontend = Frontend::new(exchange.clone(), facts, Dialect::Platform, clock, &clients);
+        let door = Door::open(frontend.clone(), vec![listener], longest);
         spawn_local(async move {
             loop {
                 sleep(SWEEP).await;
-                front.sweep();
+                frontend.sweep();
                 transport.sweep();
             }
         });
-        Ok(Self { address, exchange, discovery, frontend, listener, accepting, longest })
+        Ok(Self { address, exchange, discovery, door })
     }
 
     /// Takes no new work, finishes what was taken, and ends.
     pub async fn finish(self) {
-        let told = Instant::now();
-        self.frontend.drain();
-        sleep_until(told + ACCEPT_ON).await;
-        // From here on new connections are refused, and none is left on which a request could come
-        // that there is no time to answer.
-        drop(self.accepting);
-        drop(self.listener);
-        self.frontend.close_spare();
-        let end = told + self.longest + LAST_CALL;
-        while self.frontend.connections() > 0 && Instant::now() < end {
-            sleep(Duration::from_millis(5)).await;
-            self.frontend.close_spare();
-        }
-        let (connections, open) = (self.frontend.connections(), self.exchange.open());
-        eprintln!("sableloom: ending; {connections} connections, {open} open");
+        let Self { exchange, door, .. } = self;
+        door.finish(|| exchange.open()).await;
     }
 }
 
@@ -117,18 +132,18 @@
         }
     });
     term.recv().await;
-    let (connections, open) = (running.frontend.connections(), running.exchange.open());
+    let (connections, open) = (running.door.frontend.connections(), running.exchange.open());
     eprintln!("sableloom: SIGTERM; {connections} connections, {open} open");
     running.finish().await;
     Ok(())
 }
 
-fn listen(config: &Config) -> std::io::Result<TcpListener> {
-    let socket =
-        Socket::new(Domain::for_address(config.listen), Type::STREAM, Some(Protocol::TCP))?;
+/// A listener at this address.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     // A restart finds the old process's connections still winding down.
     socket.set_reuse_address(true)?;
-    socket.bind(&config.listen.into())?;
+    socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     socket.set_nonblocking(true)?;
     TcpListener::from_std(socket.into())
--- /dev/null
+++ b/crates/sableloom/src/serve.rs
@@ -0,0 +1,316 @@
+//! `sableloom serve`: a balancer as a site's configuration says, until SIGTERM.
+
+use std::cell::RefCell;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use sableloom_checked::Problem;
+use sableloom_exchange::{Asked, Clock, Exchange, Message, Reply, Service, Turned, Work};
+use sableloom_exchange::{Options as ExchangeOptions, Source};
+use sableloom_http1::{Budget, Dialect, Frontend, Upstreams};
+use sableloom_routes::{Head, Table};
+use sableloom_serverfiles::{Files, Prepared, ServerFiles, bytes_of};
+use sableloom_serverlist::Spec;
+use sableloom_site::{Pool, Site, Target};
+use sableloom_types::settings::span;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::config::{SOCKETS_OTHER, split};
+use crate::platform::{Door, SWEEP, listen};
+
+/// Descriptors that each pool may use to watch and read its files.
+const SOCKETS_POOL: usize = 4;
+
+/// What to run.
+#[derive(clap::Args)]
+pub struct Options {
+    /// The site's configuration, in TOML
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+}
+
+/// A site's text, read and checked; or all that is wrong.
+pub fn load(path: &Path) -> Result<(Site, Table), Vec<Problem>> {
+    let name = path.display().to_string();
+    let path = path.to_path_buf();
+    let text = bytes_of(&path).map_err(|e| vec![Problem::of_file(&name, e)])?;
+    let site = sableloom_site::read(&name, &text)?;
+    let table = site.table().map_err(|e| vec![Problem::of_file(&name, format!("routes: {e}"))])?;
+    Ok((site, table))
+}
+
+/// A pool's files, their paths taken from the folder that the site's file lies in.
+pub fn files(path: &Path, site: &Site, pool: &Pool) -> Files {
+    let folder = path.parent().unwrap_or(Path::new(""));
+    let spec = Spec {
+        pool: pool.name.clone(),
+        files: pool.files.clone(),
+        zones: site.locality.zones.clone(),
+        out_at_most: pool.out_at_most,
+        drain: span(pool.drain_ms),
+    };
+    let paths = pool.files.iter().map(|file| folder.join(file)).collect();
+    Files { spec, paths, reread: Duration::from_secs_f64(pool.reread_ms / 1e3) }
+}
+
+fn told(problems: &[Problem]) -> String {
+    let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
+    lines.join("\n")
+}
+
+/// A pool that runs.
+struct Running {
+    name: String,
+    files: Rc<ServerFiles>,
+    exchange: Rc<Exchange>,
+    transport: Rc<Upstreams>,
+}
+
+/// The configuration in force.
+struct Routing {
+    site: Site,
+    table: Table,
+    /// In the order of the site's pools.
+    pools: Vec<Rc<Running>>,
+}
+
+/// Leads each request to the pool of its route. Those under way when the routing changes end as
+/// they began.
+struct Router {
+    routing: RefCell<Rc<Routing>>,
+    /// Pools that are no longer in force and have requests open.
+    ending: RefCell<Vec<Rc<Running>>>,
+}
+
+impl Service for Router {
+    fn call(self: Rc<Self>, asked: Asked, message: Message) -> Result<Work<Reply>, Turned> {
+        let routing = self.routing.borrow().clone();
+        match routing.target(&asked, &message) {
+            Target::Pool(pool) => routing.pools[pool].exchange.clone().call(asked, message),
+            Target::Refuse(status) => Err(Turned::NoRoute(status)),
+        }
+    }
+}
+
+impl Routing {
+    fn target(&self, asked: &Asked, message: &Message) -> Target {
+        let host = message.fields.get("host").unwrap_or_default();
+        let end = message.target.iter().position(|b| *b == b'?');
+        let has = |name: &str, value: Option<&str>| {
+            let is = |v: &[u8]| value.is_none_or(|value| value.as_bytes() == v);
+            message.fields.iter().any(|(n, v)| n == name.as_bytes() && is(&v))
+        };
+        let head = Head {
+            host: &host,
+            path: &message.target[..end.unwrap_or(message.target.len())],
+            method: &message.verb,
+            class: asked.class,
+            header: &has,
+        };
+        let route = self.table.find(&head);
+        route.map_or(self.site.otherwise, |route| self.site.routes[route].target)
+    }
+}
+
+impl Router {
+    fn pools(&self) -> Vec<Rc<Running>> {
+        let mut pools = self.routing.borrow().pools.clone();
+        pools.extend(self.ending.borrow().iter().cloned());
+        pools
+    }
+
+    fn open(&self) -> usize {
+        self.pools().iter().map(|pool| pool.exchange.open()).sum()
+    }
+
+    /// Closes idle connections, and lets go of pools that have ended.
+    fn sweep(&self) {
+        self.pools().iter().for_each(|pool| pool.transport.sweep());
+        self.ending.borrow_mut().retain(|pool| {
+            let open = pool.exchange.open() > 0;
+            if !open {
+                pool.exchange.close();
+                eprintln!("sableloom: pool {}: ended", pool.name);
+            }
+            open
+        });
+    }
+}
+
+/// What all pools share.
+struct Shared {
+    path: PathBuf,
+    clock: Clock,
+    budget: Rc<Budget>,
+}
+
+impl Shared {
+    fn start(&self, site: &Site, pool: &Pool, files: Rc<ServerFiles>) -> Result<Running, String> {
+        let facts = Rc::new(site.facts(pool));
+        let transport = Upstreams::new(self.budget.clone(), &facts);
+        let source: Rc<dyn Source> = files.clone();
+        let exchange = Exchange::start(ExchangeOptions {
+            facts,
+            seed: u64::from(std::process::id()),
+            clock: self.clock,
+            transport: transport.clone(),
+            source,
+        })
+        .map_err(|e| format!("pool {}: {e}", pool.name))?;
+        files.watch();
+        Ok(Running { name: pool.name.clone(), files, exchange, transport })
+    }
+
+    /// Takes a new configuration over, whole or not at all.
+    async fn reload(&self, router: &Router) -> Result<String, Vec<Problem>> {
+        let name = self.path.display().to_string();
+        let (site, table) = load(&self.path)?;
+        let old = router.routing.borrow().clone();
+        let fixed = sableloom_site::unchangeable(&name, &old.site, &site);
+        if !fixed.is_empty() {
+            return Err(fixed);
+        }
+        enum Next {
+            Kept(Rc<Running>, Box<Prepared>),
+            New(Rc<ServerFiles>),
+        }
+        let (mut next, mut problems) = (Vec::new(), Vec::new());
+        for pool in &site.pools {
+            let files = files(&self.path, &site, pool);
+            let running = old.pools.iter().find(|running| running.name == pool.name);
+            let ready = match running {
+                Some(running) => running
+                    .files
+                    .prepare(files)
+                    .await
+                    .map(|prepared| Next::Kept(running.clone(), Box::new(prepared))),
+                None => ServerFiles::open(files, self.clock).await.map(Next::New),
+            };
+            match ready {
+                Ok(ready) => next.push(ready),
+                Err(wrong) => problems.extend(wrong),
+            }
+        }
+        if !problems.is_empty() {
+            return Err(problems);
+        }
+        // Nothing below can fail but for settings that the check has let pass.
+        let mut pools = Vec::new();
+        let mut kept = Vec::new();
+        for (pool, next) in site.pools.iter().zip(next) {
+            match next {
+                Next::Kept(running, prepared) => {
+                    kept.push((running.clone(), prepared));
+                    pools.push(running);
+                }
+                Next::New(files) => {
+                    let started = self.start(&site, pool, files);
+                    pools.push(Rc::new(started.map_err(|e| vec![Problem::of_file(&name, e)])?));
+                }
+            }
+        }
+        kept.into_iter().for_each(|(running, prepared)| running.files.commit(*prepared));
+        let gone: Vec<_> =
+            old.pools.iter().filter(|p| !pools.iter().any(|q| Rc::ptr_eq(p, q))).cloned().collect();
+        gone.iter().for_each(|pool| pool.files.stop());
+        let what = format!(
+            "configuration {} in force: {} routes, {} pools{}",
+            site.hash,
+            site.routes.len(),
+            pools.len(),
+            named(", without ", gone.iter().map(|p| p.name.as_str())),
+        );
+        router.ending.borrow_mut().extend(gone);
+        *router.routing.borrow_mut() = Rc::new(Routing { site, table, pools });
+        Ok(what)
+    }
+}
+
+fn named<'n>(before: &str, names: impl Iterator<Item = &'n str>) -> String {
+    let names: Vec<_> = names.collect();
+    if names.is_empty() { String::new() } else { format!("{before}{}", names.join(", ")) }
+}
+
+/// Runs it.
+pub async fn run(options: Options) -> Result<(), String> {
+    let path = options.config;
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let (site, table) = load(&path).map_err(|wrong| told(&wrong))?;
+    let other = SOCKETS_OTHER + site.listeners.len() + SOCKETS_POOL * site.pools.len();
+    let (clients, upstreams) = split(site.limits.memory_mb, site.limits.sockets, other);
+    if upstreams < site.pools.len() {
+        let least = other + site.pools.len() * 5 / 2;
+        let sockets = site.limits.sockets;
+        return Err(format!(
+            "{}: field `limits.sockets`: {sockets} is under {least}, for so many pools",
+            path.display()
+        ));
+    }
+    let mut listeners = Vec::new();
+    for (i, listener) in site.listeners.iter().enumerate() {
+        let place =
+            format!("{}:{}: field `listener[{i}].address`", path.display(), listener.place.line);
+        let listener =
+            listen(listener.address).map_err(|e| format!("{place}: {}: {e}", listener.address))?;
+        listeners.push(listener);
+    }
+    let clock = Clock::new();
+    let shared = Shared { path: path.clone(), clock, budget: Budget::new(upstreams) };
+    let (mut opened, mut problems) = (Vec::new(), Vec::new());
+    for pool in &site.pools {
+        match ServerFiles::open(files(&path, &site, pool), clock).await {
+            Ok(files) => opened.push(files),
+            Err(wrong) => problems.extend(wrong),
+        }
+    }
+    if !problems.is_empty() {
+        return Err(told(&problems));
+    }
+    let started =
+        site.pools.iter().zip(opened).map(|(pool, files)| shared.start(&site, pool, files));
+    let pools = started.map(|pool| pool.map(Rc::new)).collect::<Result<Vec<_>, String>>()?;
+
+    let facts = Rc::new(site.facts(&site.pools[0]));
+    let method = |m: &String| m.parse().map_err(|_| format!("no method {m:?}"));
+    let methods = site
+        .classes
+        .iter()
+        .map(|class| class.methods.iter().map(method).collect::<Result<Vec<_>, _>>())
+        .collect::<Result<Vec<_>, _>>()?;
+    let longest = Duration::from_secs_f64(site.longest_ms() / 1e3);
+    let hash = site.hash.clone();
+    let routing = Rc::new(Routing { site, table, pools });
+    let router = Rc::new(Router { routing: RefCell::new(routing), ending: RefCell::default() });
+    let frontend = Frontend::new(router.clone(), facts, Dialect::Open(methods), clock, &clients);
+    for listener in &listeners {
+        let address = listener.local_addr().map_err(|e| format!("a listener: {e}"))?;
+        eprintln!("sableloom: listening on {address}");
+    }
+    eprintln!("sableloom: configuration {hash} in force");
+    let door = Door::open(frontend.clone(), listeners, longest);
+    let sweeps = router.clone();
+    spawn_local(async move {
+        loop {
+            sleep(SWEEP).await;
+            frontend.sweep();
+            sweeps.sweep();
+        }
+    });
+    let reloads = router.clone();
+    spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            match shared.reload(&reloads).await {
+                Ok(what) => eprintln!("sableloom: SIGHUP; {what}"),
+                Err(wrong) => eprintln!("sableloom: SIGHUP; nothing is changed: {}", told(&wrong)),
+            }
+        }
+    });
+    term.recv().await;
+    eprintln!("sableloom: SIGTERM; {} open", router.open());
+    door.finish(|| router.open()).await;
+    Ok(())
+}
--- a/crates/sableloom/tests/sockets/main.rs
+++ b/crates/sableloom/tests/sockets/main.rs
@@ -7,4 +7,5 @@
 mod outcomes;
 mod reload;
 mod requests;
+mod server_files;
 mod shutdown;
--- /dev/null
+++ b/crates/serverlist/src/file.rs
@@ -0,0 +1,178 @@
+//! One file of servers: its form, and all that can be wrong with it by itself.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+
+use rustc_hash::FxHashMap;
+use sableloom_checked::{self as checked, Problem, Table, instead};
+use sha2::{Digest, Sha256};
+
+use crate::Spec;
+
+/// Most servers of a pool.
+pub const MOST_SERVERS: usize = 20_000;
+/// The largest weight. More is a slip of the hand, not a larger machine.
+pub const MOST_WEIGHT: f64 = 1000.0;
+
+/// What a server is to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It takes requests.
+    Serving,
+    /// It finishes what it has.
+    Draining,
+}
+
+/// A server as a file names it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// Its name.
+    pub id: String,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Its zone; empty for none.
+    pub zone: String,
+    /// Its relative size; one of 0 gets no requests.
+    pub weight: f64,
+    /// What it is to do.
+    pub state: State,
+    /// When it last started, in Unix milliseconds, if that is stated.
+    pub started_ms: Option<f64>,
+    place: Place,
+}
+
+/// Where it stands in its file. Two servers that differ only in this are the same.
+#[derive(Clone, Debug)]
+struct Place {
+    span: Range<usize>,
+    line: usize,
+    number: usize,
+}
+
+impl PartialEq for Place {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+impl Listed {
+    /// Whether it takes requests.
+    pub fn serves(&self) -> bool {
+        self.state == State::Serving && self.weight > 0.0
+    }
+
+    pub(crate) fn problem(&self, file: &str, field: &str, message: String) -> Problem {
+        Problem {
+            file: file.to_string(),
+            span: self.place.span.clone(),
+            line: self.place.line,
+            column: 1,
+            field: format!("server[{}].{field}", self.place.number),
+            message,
+            help: None,
+        }
+    }
+}
+
+/// What a file says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// Files of a pool that say a version change together.
+    pub version: Option<String>,
+    /// How many serving servers it takes out, if it says so.
+    pub takes_out: Option<usize>,
+    /// Its servers, in their order.
+    pub servers: Vec<Listed>,
+    /// Of its bytes.
+    pub digest: [u8; 32],
+}
+
+/// Reads a file of servers. A text that was cut anywhere is refused: the last table says that it is
+/// the end, and how many servers came before.
+pub fn read(file: &str, bytes: &[u8], spec: &Spec) -> Result<Listing, Vec<Problem>> {
+    if bytes.iter().all(u8::is_ascii_whitespace) {
+        let mut problem = Problem::of_file(file, "it is empty");
+        problem.help = Some("to empty a pool, write [end], servers = 0 and takes_out".into());
+        return Err(vec![problem]);
+    }
+    let lines = line_starts(bytes);
+    let mut listing = checked::read(file, bytes, |root| listing(root, spec, &lines))?;
+    listing.digest = Sha256::digest(bytes).into();
+    Ok(listing)
+}
+
+fn line_starts(bytes: &[u8]) -> Vec<usize> {
+    let breaks = bytes.iter().enumerate().filter(|(_, b)| **b == b'\n').map(|(i, _)| i + 1);
+    std::iter::once(0).chain(breaks).collect()
+}
+
+fn listing(root: &Table<'_>, spec: &Spec, lines: &[usize]) -> Option<Listing> {
+    let version = root.text("version").map(|v| v.value);
+    let takes_out = root.whole("takes_out", 0..=MOST_SERVERS, " servers").map(|n| n.value);
+    if let Some(pool) = root.text("pool").filter(|pool| pool.value != spec.pool) {
+        let message = format!("{:?} is not the pool that names this file", pool.value);
+        root.wrong(&pool, message, Some(format!("that is `{}`", spec.pool)));
+    }
+    let tables = root.tables("server");
+    let (mut ids, mut addresses) = (FxHashMap::default(), FxHashMap::default());
+    let mut servers = Vec::with_capacity(tables.len());
+    for (number, table) in tables.iter().enumerate() {
+        let id = table.need_name("id");
+        let address = table.need_address("address");
+        let started_ms = started(table);
+        let place = table.here().span;
+        let line = lines.partition_point(|start| *start <= place.start);
+        let weight = table.number("weight", 0.0..=MOST_WEIGHT, "");
+        let state =
+            table.choice("state", &[("serving", State::Serving), ("draining", State::Draining)]);
+        let zone = table.text("zone");
+        if let Some(zone) = &zone
+            && !spec.zones.is_empty()
+            && !spec.zones.contains(&zone.value)
+        {
+            let help = instead(&zone.value, spec.zones.iter().map(String::as_str));
+            table.wrong(zone, format!("no zone {:?}", zone.value), Some(help));
+        }
+        table.finish();
+        let (Some(id), Some(address)) = (id, address) else { continue };
+        if let Some(first) = ids.insert(id.value.clone(), number) {
+            table.wrong(&id, format!("{:?} is the id of server[{first}] as well", id.value), None);
+        }
+        if let Some(first) = addresses.insert(address.value, number) {
+            let message = format!("{} is the address of server[{first}] as well", address.value);
+            table.wrong(&address, message, None);
+        }
+        servers.push(Listed {
+            id: id.value,
+            address: address.value,
+            zone: zone.map(|z| z.value).unwrap_or_default(),
+            weight: weight.map_or(1.0, |w| w.value),
+            state: state.map_or(State::Serving, |s| s.value),
+            started_ms,
+            place: Place { span: place, line, number },
+        });
+    }
+    match root.table("end") {
+        None => root.missing("end", "a last table [end] with servers = their number; is it cut?"),
+        Some(end) => {
+            let count = end.need_number("servers", 0.0..=MOST_SERVERS as f64, " servers");
+            if let Some(count) = count.filter(|count| count.value != tables.len() as f64) {
+                let message = format!("{} servers are here, not {}", tables.len(), count.value);
+                end.wrong(&count, message, Some("is the file cut, or half written?".into()));
+            }
+            end.finish();
+        }
+    }
+    Some(Listing { version, takes_out, servers, digest: [0; 32] })
+}
+
+fn started(table: &Table<'_>) -> Option<f64> {
+    let date = table.date("started")?;
+    match date.value.parse::<jiff::Timestamp>() {
+        Ok(at) if at.as_millisecond() > 0 => Some(at.as_millisecond() as f64),
+        _ => {
+            table.wrong(&date, "expected a date after 1970", None);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/serverlist/tests/lists.rs
@@ -0,0 +1,347 @@
+//! Each thing that a list can say, and each that it can get wrong.
+
+use std::sync::Arc;
+
+use sableloom_checked::Problem;
+use sableloom_serverlist::*;
+use sableloom_types::{Entry, Span, Status, Time};
+
+const DRAIN: i64 = 3_000_000;
+const T0: Time = Time(1_764_576_000_000_000);
+
+fn at(seconds: i64) -> Time {
+    Time(T0.0 + seconds * 1_000_000)
+}
+
+fn ms(time: Time) -> f64 {
+    time.0 as f64 / 1e3
+}
+
+fn spec(files: &[&str]) -> Spec {
+    Spec {
+        pool: "points".into(),
+        files: files.iter().map(|f| f.to_string()).collect(),
+        zones: vec!["east".into(), "west".into()],
+        out_at_most: 0.5,
+        drain: Span(DRAIN),
+    }
+}
+
+/// A file of these servers, each as `id port more`.
+fn file(top: &str, servers: &[&str]) -> String {
+    let mut text = format!("{top}\n");
+    for server in servers {
+        let mut words = server.splitn(3, ' ');
+        let (id, port) = (words.next().expect("an id"), words.next().expect("a port"));
+        text += &format!("[[server]]\nid = \"{id}\"\naddress = \"127.0.0.1:{port}\"\n");
+        text += &words.next().unwrap_or_default().replace(',', "\n");
+        text += "\n";
+    }
+    text + &format!("[end]\nservers = {}\n", servers.len())
+}
+
+fn reading(spec: &Spec, name: &str, text: &str) -> Reading {
+    read(name, text.as_bytes(), spec).map(Arc::new)
+}
+
+fn offer(lists: &mut Lists, now: Time, texts: &[&str]) -> Offer {
+    let spec = lists.spec().clone();
+    let readings: Vec<_> =
+        spec.files.iter().zip(texts).map(|(name, text)| reading(&spec, name, text)).collect();
+    lists.offer(now, &readings)
+}
+
+fn accepted(lists: &mut Lists, now: Time, texts: &[&str]) -> Vec<String> {
+    let offer = offer(lists, now, texts);
+    assert_eq!(offer.problems, [], "nothing is wrong");
+    let applied = offer.applied.expect("accepted");
+    applied.changes.iter().map(Change::to_string).collect()
+}
+
+fn refused(lists: &mut Lists, texts: &[&str]) -> String {
+    let before = lists.entries();
+    let offer = offer(lists, at(1), texts);
+    assert_eq!(offer.applied, None);
+    assert_eq!(lists.entries(), before, "the last good list stays in force");
+    let told: Vec<_> = offer.problems.iter().map(Problem::to_string).collect();
+    assert!(!told.is_empty(), "it is told why");
+    told.join("\n")
+}
+
+fn one(first: &[&str]) -> Lists {
+    let mut lists = Lists::new(spec(&["a.toml"]));
+    accepted(&mut lists, at(0), &[&file("", first)]);
+    lists
+}
+
+fn entry(lists: &Lists, name: &str) -> Entry {
+    lists.entries().into_iter().find(|e| &*e.id == name).unwrap_or_else(|| panic!("no {name}"))
+}
+
+#[test]
+fn a_whole_list_comes_into_force_with_a_number_and_a_hash() {
+    let mut lists = Lists::new(spec(&["a.toml"]));
+    assert!(!lists.in_force());
+    let text = file(
+        "pool = \"points\"",
+        &["a 1 zone = \"east\"", "b 2 weight = 2.5", "c 3 state = \"draining\"", "d 4 weight = 0"],
+    );
+    let changes = accepted(&mut lists, at(0), &[&text]);
+    assert_eq!(changes, ["added a", "added b", "added c", "added d"]);
+    let (revision, hash) = lists.version();
+    assert_eq!((revision, hash.len()), (1, 12));
+    let status: Vec<_> =
+        lists.entries().iter().map(|e| (e.status, e.size, e.up_since_ms)).collect();
+    let (live, draining) = (Status::Live, Status::Draining);
+    // What is there at the start has long been there; a weight of 0 gets nothing.
+    assert_eq!(
+        status,
+        [(live, 1.0, 0.0), (live, 2.5, 0.0), (draining, 1.0, 0.0), (draining, 1.0, 0.0)]
+    );
+    let before = lists.version().1.to_string();
+    let again = offer(&mut lists, at(1), &[&text]);
+    assert_eq!(again, Offer::default(), "the same is no change");
+    assert_eq!(lists.version(), (1, &*before));
+}
+
+#[test]
+fn what_is_wrong_is_refused_whole() {
+    let mut lists = one(&["a 1", "b 2"]);
+    for (text, says) in [
+        (String::new(), "a.toml:1:1: it is empty"),
+        (" \n\t\r\n".into(), "it is empty"),
+        ("[[server]]\nid = \"a\"\naddress = \"127.0.0.1:1\"\n".into(), "field `end`: missing"),
+        (file("", &["a 1", "a 2"]), "field `server[1].id`: \"a\" is the id of server[0] as well"),
+        (file("", &["a 1", "b 1"]), "127.0.0.1:1 is the address of server[0] as well"),
+        (file("", &["a 1 weight = 0", "b 2 weight = 0.0"]), "every server has weight 0"),
+        (
+            file("", &["a 1 weight = -1", "b 2"]),
+            "field `server[0].weight`: expected 0 to 1000, found -1",
+        ),
+        (file("", &["a 1 weight = 1e9", "b 2"]), "found 1000000000"),
+        (file("", &["a 1 weight = nan", "b 2"]), "found NaN"),
+        (file("", &["a 1 weight = \"1\"", "b 2"]), "expected a number, found a text"),
+        (file("", &["a 1 wieght = 1", "b 2"]), "unknown field; did you mean `weight`?"),
+        (file("", &["a 1 state = \"drainin\"", "b 2"]), "did you mean `draining`?"),
+        (file("", &["a 1 zone = \"eats\"", "b 2"]), "did you mean `east`?"),
+        (file("", &["a 1 started = 2026-12-01", "b 2"]), "a date and time with an offset"),
+        (file("", &["a 1 started = 1969-12-01T00:00:00Z", "b 2"]), "expected a date after 1970"),
+        (file("", &["a 1 started = 2999-12-01T00:00:00Z", "b 2"]), "an hour ahead"),
+        (file("pool = \"pionts\"", &["a 1", "b 2"]), "that is `points`"),
+        (file("", &["a 1", "b 2"]).replace("127.0.0.1:1", "points-1:1"), "names are not looked up"),
+        (
+            file("", &["a 1", "b 2"]).replace("servers = 2", "servers = 3"),
+            "2 servers are here, not 3",
+        ),
+        (
+            file("", &["a 1", "b 2"]) + "[[server]]\nid = \"c\"",
+            "field `server[2].address`: missing",
+        ),
+        (file("", &["a 1", "b 2"]).replace("id = \"b\"", "id = b"), "a.toml:"),
+    ] {
+        let told = refused(&mut lists, &[&text]);
+        assert!(told.contains(says), "{says:?} is not told of\n{text}\nbut\n{told}");
+    }
+    let unreadable = vec![Problem::of_file("a.toml", "Permission denied")];
+    let offer = lists.offer(at(1), &[Err(unreadable.clone())]);
+    assert_eq!((offer.applied, offer.problems), (None, unreadable));
+    assert_eq!(lists.version().0, 1);
+}
+
+#[test]
+fn taking_out_more_than_the_share_must_be_meant() {
+    let mut lists = one(&["a 1", "b 2", "c 3", "d 4"]);
+    // Half of them is the share.
+    let told = refused(&mut lists, &[&file("", &["a 1"])]);
+    assert!(told.contains("takes 3 of 4 serving servers out, over 50%"), "{told}");
+    assert!(told.contains("write takes_out = 3"), "{told}");
+    for top in ["takes_out = 2", "takes_out = 4"] {
+        refused(&mut lists, &[&file(top, &["a 1"])]);
+    }
+    // Drained, without weight or left out: all the same.
+    let out = ["a 1 weight = 0", "b 2 state = \"draining\"", "d 4"];
+    assert!(refused(&mut lists, &[&file("", &out)]).contains("takes 3 of 4"));
+    let changes = accepted(&mut lists, at(1), &[&file("takes_out = 3", &["a 1"])]);
+    assert_eq!(changes, ["removed b", "removed c", "removed d"]);
+    // The same words are no leave for the next change.
+    refused(&mut lists, &[&file("takes_out = 3", &[])]);
+    let changes = accepted(&mut lists, at(2), &[&file("takes_out = 1", &[])]);
+    assert_eq!(changes, ["removed a"]);
+    // Emptied, and filled again.
+    assert!(lists.entries().iter().all(|e| e.status == Status::Draining));
+    let changes = accepted(&mut lists, at(3), &[&file("", &["a 1", "e 5"])]);
+    assert_eq!(changes, ["returned a", "added e"]);
+    let mut half = one(&["a 1", "b 2", "c 3", "d 4"]);
+    assert_eq!(
+        accepted(&mut half, at(1), &[&file("", &["a 1", "b 2"])]),
+        ["removed c", "removed d"]
+    );
+}
+
+#[test]
+fn a_server_that_is_left_out_drains_first_and_is_forgotten_then() {
+    let mut lists = one(&["a 1", "b 2"]);
+    accepted(&mut lists, at(10), &[&file("", &["a 1"])]);
+    assert_eq!(entry(&lists, "b").status, Status::Draining);
+    assert_eq!(lists.next(), Some(Time(at(10).0 + DRAIN)));
+    assert!(!lists.tick(Time(at(10).0 + DRAIN - 1)));
+    assert_eq!(lists.held(), 2);
+    assert!(lists.tick(Time(at(10).0 + DRAIN)));
+    assert_eq!((lists.held(), lists.next()), (1, None));
+    // It counts as new from then on, and starts cold.
+    assert_eq!(accepted(&mut lists, at(60), &[&file("", &["a 1", "b 2"])]), ["added b"]);
+    assert_eq!(entry(&lists, "b").up_since_ms, ms(at(60)));
+}
+
+#[test]
+fn new_servers_start_cold_and_stated_starts_hold() {
+    let mut lists = one(&["a 1"]);
+    let stated = "started = 2025-11-30T12:00:00+02:00";
+    accepted(&mut lists, at(5), &[&file("", &["a 1", "b 2", &format!("c 3 {stated}")])]);
+    assert_eq!(entry(&lists, "a").up_since_ms, 0.0);
+    assert_eq!(entry(&lists, "b").up_since_ms, ms(at(5)));
+    assert_eq!(entry(&lists, "c").up_since_ms, ms(at(-22 * 3600)));
+}
+
+#[test]
+fn one_that_comes_back_is_cold_if_its_id_or_start_says_so() {
+    for (back, cold, told) in [
+        ("b 2", false, vec!["returned b"]),
+        ("x 2", true, vec!["returned cold x", "renamed b to x"]),
+        ("b 2 started = 2025-12-01T08:00:05Z", true, vec!["returned cold b"]),
+        ("b 9", true, vec!["returned cold b", "moved b from 127.0.0.1:2 to 127.0.0.1:9"]),
+    ] {
+        let mut lists = one(&["a 1", "b 2"]);
+        accepted(&mut lists, at(1), &[&file("", &["a 1"])]);
+        let changes = accepted(&mut lists, at(2), &[&file("", &["a 1", back])]);
+        assert_eq!(changes, told, "{back}");
+        // The decision module knows it as the same: what is out to it counts.
+        let held = entry(&lists, "b");
+        assert_eq!(held.status, Status::Live);
+        assert_eq!(held.up_since_ms > 0.0, cold, "{back}");
+        assert_eq!(lists.held(), 2, "{back}: one entry, and its lanes once");
+    }
+}
+
+#[test]
+fn a_new_id_alone_changes_nothing_else() {
+    let mut lists = one(&["a 1", "b 2"]);
+    let changes = accepted(&mut lists, at(1), &[&file("", &["a 1", "c 2"])]);
+    assert_eq!(changes, ["renamed b to c"]);
+    assert_eq!((lists.held(), entry(&lists, "b").up_since_ms), (2, 0.0));
+    // Another is free to take the old id, and is not taken for the first.
+    let changes = accepted(&mut lists, at(2), &[&file("", &["a 1", "c 2", "b 3"])]);
+    assert_eq!(changes, ["added b"]);
+    assert_eq!(entry(&lists, "b 2").address, "127.0.0.1:3".parse().expect("an address"));
+    // Two that swap their ids stay what they are.
+    let changes = accepted(&mut lists, at(3), &[&file("", &["a 1", "b 2", "c 3"])]);
+    assert_eq!(changes, ["renamed c to b", "renamed b to c"]);
+    assert_eq!(lists.held(), 3);
+}
+
+#[test]
+fn a_restart_and_a_move_are_told_and_start_cold() {
+    let mut lists = one(&["a 1 started = 2025-12-01T07:00:00Z", "b 2"]);
+    let before = entry(&lists, "a").up_since_ms;
+    let changes =
+        accepted(&mut lists, at(1), &[&file("", &["a 1 started = 2025-12-01T07:59:00Z", "b 7"])]);
+    assert_eq!(changes, ["restarted a", "moved b from 127.0.0.1:2 to 127.0.0.1:7"]);
+    assert_eq!(entry(&lists, "a").up_since_ms, before + 59.0 * 60_000.0);
+    assert_eq!(entry(&lists, "b").up_since_ms, ms(at(1)));
+    // A start that is no longer stated is no news.
+    assert_eq!(accepted(&mut lists, at(2), &[&file("", &["a 1", "b 7"])]), Vec::<String>::new());
+    assert_eq!(entry(&lists, "a").up_since_ms, before + 59.0 * 60_000.0);
+}
+
+#[test]
+fn weights_states_and_zones_change_in_place() {
+    let mut lists = one(&["a 1", "b 2 zone = \"east\""]);
+    let changes = accepted(
+        &mut lists,
+        at(1),
+        &[&file("", &["a 1 weight = 3", "b 2 zone = \"west\",state = \"draining\""])],
+    );
+    assert_eq!(changes, ["weight of a from 1 to 3", "zone of b", "drained b"]);
+    let changes = accepted(&mut lists, at(2), &[&file("", &["a 1 weight = 3", "b 2"])]);
+    assert_eq!(changes, ["zone of b", "resumed b"]);
+    assert!(lists.entries().iter().all(|e| e.up_since_ms == 0.0), "none starts anew");
+}
+
+#[test]
+fn files_stand_by_themselves_unless_they_say_a_version() {
+    let mut lists = Lists::new(spec(&["a.toml", "b.toml"]));
+    let bad = "[[server]";
+    // At first all must be good.
+    let first = offer(&mut lists, at(0), &[&file("", &["a 1"]), bad]);
+    assert!(first.applied.is_none() && first.problems[0].file == "b.toml");
+    accepted(&mut lists, at(0), &[&file("", &["a 1", "b 2"]), &file("", &["c 3"])]);
+    // One that goes bad stays as it was; the other's change holds.
+    let mixed = offer(&mut lists, at(1), &[&file("", &["a 1", "b 2", "d 4"]), bad]);
+    assert_eq!(mixed.problems.len(), 1);
+    assert_eq!(mixed.applied.expect("the good one").changes, [Change::Added("d".into())]);
+    assert_eq!(lists.held(), 4);
+    // What is wrong only together is refused together.
+    let told = refused(&mut lists, &[&file("", &["a 1", "b 2", "c 9"]), &file("", &["c 3"])]);
+    assert!(told.contains("b.toml") && told.contains("\"c\" is in a.toml as well"), "{told}");
+    let told = refused(&mut lists, &[&file("", &["a 1", "b 2", "x 3"]), &file("", &["c 3"])]);
+    assert!(told.contains("127.0.0.1:3 is in a.toml as well"), "{told}");
+    // One that moves from file to file goes with both.
+    let moved = [&file("", &["a 1", "b 2", "c 3"])[..], &file("", &["d 4"])];
+    assert_eq!(accepted(&mut lists, at(2), &moved), Vec::<String>::new());
+}
+
+#[test]
+fn files_of_one_version_change_together() {
+    let mut lists = Lists::new(spec(&["a.toml", "b.toml", "c.toml"]));
+    let v = |n: u32, servers: &[&str]| file(&format!("version = \"{n}\""), servers);
+    let free = file("", &["f 9"]);
+    accepted(&mut lists, at(0), &[&v(1, &["a 1"]), &v(1, &["b 2"]), &free]);
+    // One of them is ahead: awaited, and nothing of it is in force.
+    let ahead = offer(&mut lists, at(1), &[&v(2, &["a 1", "a2 3"]), &v(1, &["b 2"]), &free]);
+    assert_eq!((ahead.applied, ahead.problems), (None, vec![]));
+    let waits = ahead.waits.expect("told");
+    assert_eq!(waits, "versions differ: a.toml has `2`, b.toml has `1`");
+    // A file that says none goes its own way meanwhile.
+    let more = file("", &["f 9", "g 10"]);
+    let other = offer(&mut lists, at(2), &[&v(2, &["a 1", "a2 3"]), &v(1, &["b 2"]), &more]);
+    assert_eq!(other.applied.expect("the free one").changes, [Change::Added("g".into())]);
+    // The other is broken: still awaited.
+    let broken = offer(&mut lists, at(3), &[&v(2, &["a 1", "a2 3"]), "version = \"2", &more]);
+    assert!(broken.applied.is_none() && broken.waits.is_some() && broken.problems.len() == 1);
+    let changes =
+        accepted(&mut lists, at(4), &[&v(2, &["a 1", "a2 3"]), &v(2, &["b 2", "b2 4"]), &more]);
+    assert_eq!(changes, ["added a2", "added b2"]);
+}
+
+#[test]
+fn other_files_may_be_named_and_what_is_in_force_of_the_old_ones_stays() {
+    let mut lists = Lists::new(spec(&["a.toml", "b.toml"]));
+    accepted(&mut lists, at(0), &[&file("", &["a 1", "b 2"]), &file("", &["c 3"])]);
+    lists.set(spec(&["a.toml"]));
+    let a = file("", &["a 1", "b 2"]);
+    assert_eq!(accepted(&mut lists, at(1), &[&a]), ["removed c"]);
+    lists.set(spec(&["a.toml", "d.toml"]));
+    // The old one is broken now, and still as it was; the new one must be good.
+    let offered = offer(&mut lists, at(2), &["[", &file("", &["d 4"])]);
+    assert_eq!(offered.applied.expect("the new file").changes, [Change::Added("d".into())]);
+    assert_eq!(lists.entries().iter().filter(|e| e.status == Status::Live).count(), 3);
+    // Set again, and nothing is new.
+    let number = lists.version().0;
+    lists.set(spec(&["a.toml", "d.toml"]));
+    assert_eq!(offer(&mut lists, at(3), &[&a, &file("", &["d 4"])]), Offer::default());
+    assert_eq!(lists.version().0, number);
+}
+
+#[test]
+fn more_servers_than_a_pool_may_have_are_refused() {
+    let mut lists = Lists::new(spec(&["a.toml", "b.toml"]));
+    let servers: Vec<String> = (0..MOST_SERVERS).map(|i| format!("s{i} {}", 10_000 + i)).collect();
+    let servers: Vec<&str> = servers.iter().map(String::as_str).collect();
+    let first = offer(&mut lists, at(0), &[&file("", &servers), &file("", &["x 1"])]);
+    assert!(first.applied.is_none());
+    assert!(
+        first.problems[0].message.contains("20001 servers in all files"),
+        "{:?}",
+        first.problems
+    );
+}
--- /dev/null
+++ b/crates/serverlist/tests/property.rs
@@ -0,0 +1,279 @@
+//! Seeded histories of files, broken and whole, against a naive model; and cuts at every byte.
+//! `SEED=n` replays one history.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use oorandom::Rand64;
+use sableloom_serverlist::*;
+use sableloom_types::{Span, Status, Time};
+
+const SEEDS: u64 = 1500;
+const DRAIN: i64 = 3_000_000;
+const OUT_AT_MOST: f64 = 0.5;
+
+#[derive(Clone, Debug, PartialEq)]
+struct One {
+    id: u64,
+    port: u64,
+    weight: u64,
+    draining: bool,
+    started: Option<u64>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+struct File {
+    version: Option<u64>,
+    takes_out: Option<usize>,
+    servers: Vec<One>,
+}
+
+impl File {
+    fn text(&self) -> String {
+        let mut text = String::new();
+        self.version.iter().for_each(|v| text += &format!("version = \"{v}\"\n"));
+        self.takes_out.iter().for_each(|n| text += &format!("takes_out = {n}\n"));
+        for s in &self.servers {
+            text +=
+                &format!("[[server]]\nid = \"s{}\"\naddress = \"127.0.0.1:{}\"\n", s.id, s.port);
+            text += &format!("weight = {}\n", s.weight);
+            if s.draining {
+                text += "state = \"draining\"\n";
+            }
+            s.started
+                .iter()
+                .for_each(|at| text += &format!("started = 2025-12-01T00:00:{at:02}Z\n"));
+        }
+        text + &format!("[end]\nservers = {}\n", self.servers.len())
+    }
+
+    fn is_sound(&self) -> bool {
+        let ids: BTreeSet<_> = self.servers.iter().map(|s| s.id).collect();
+        let ports: BTreeSet<_> = self.servers.iter().map(|s| s.port).collect();
+        ids.len() == self.servers.len() && ports.len() == self.servers.len()
+    }
+}
+
+/// What a pool is by the rules, said as plainly as possible.
+#[derive(Clone, Default)]
+struct Model {
+    good: Vec<Option<File>>,
+    servers: Vec<One>,
+}
+
+impl Model {
+    /// The list in force after these files; whether it is a new one. `held` are the ports of what
+    /// is in force or drains: what is there is known by its address.
+    fn offer(&mut self, files: &[Option<File>], held: &BTreeSet<u64>) -> bool {
+        let mut new: Vec<Option<File>> =
+            files.iter().zip(&self.good).map(|(f, g)| f.clone().or(g.clone())).collect();
+        let versions: BTreeSet<_> = new.iter().flatten().filter_map(|f| f.version).collect();
+        if versions.len() > 1 {
+            for (new, good) in new.iter_mut().zip(&self.good) {
+                let stamped = |f: &Option<File>| f.as_ref().is_some_and(|f| f.version.is_some());
+                if stamped(new) || stamped(good) {
+                    new.clone_from(good);
+                }
+            }
+        }
+        if new.iter().any(Option::is_none) || new == self.good {
+            return false;
+        }
+        let servers: Vec<One> = new.iter().flatten().flat_map(|f| f.servers.clone()).collect();
+        let together = File { servers: servers.clone(), ..File::default() };
+        if !together.is_sound() || (!servers.is_empty() && servers.iter().all(|s| s.weight == 0)) {
+            return false;
+        }
+        // Who serves is known by its address, or else by its id.
+        let serves = |s: &&One| s.weight > 0 && !s.draining;
+        let ports: BTreeSet<_> = servers.iter().map(|s| s.port).collect();
+        let goes_on = |old: &&One| {
+            let at = servers.iter().find(|s| s.port == old.port);
+            let by_id = || servers.iter().find(|s| s.id == old.id && !held.contains(&s.port));
+            let by_id = || if ports.contains(&old.port) { None } else { by_id() };
+            !at.or_else(by_id).is_some_and(|s| serves(&s))
+        };
+        let before = self.servers.iter().filter(serves).count();
+        let out = self.servers.iter().filter(serves).filter(goes_on).count();
+        let meant: usize = new
+            .iter()
+            .zip(&self.good)
+            .filter(|(new, good)| new != good)
+            .filter_map(|(new, _)| new.as_ref()?.takes_out)
+            .sum();
+        if out as f64 > OUT_AT_MOST * before as f64 && out != meant {
+            return false;
+        }
+        self.good = new;
+        self.servers = servers;
+        true
+    }
+}
+
+fn spec(files: usize) -> Spec {
+    Spec {
+        pool: "p".into(),
+        files: (0..files).map(|i| format!("{i}.toml")).collect(),
+        zones: vec![],
+        out_at_most: OUT_AT_MOST,
+        drain: Span(DRAIN),
+    }
+}
+
+fn draw(rng: &mut Rand64, last: &File) -> File {
+    let mut file = last.clone();
+    for _ in 0..rng.rand_range(1..4) {
+        let n = file.servers.len() as u64;
+        let pick = if n > 0 { rng.rand_range(0..n) as usize } else { 0 };
+        match rng.rand_range(0..10) {
+            0..3 => file.servers.push(One {
+                id: rng.rand_range(0..12),
+                port: rng.rand_range(1..12),
+                weight: rng.rand_range(0..3),
+                draining: rng.rand_range(0..6) == 0,
+                started: (rng.rand_range(0..4) == 0).then(|| rng.rand_range(0..60)),
+            }),
+            3 if n > 0 => drop(file.servers.remove(pick)),
+            4 if n > 0 => file.servers[pick].weight = rng.rand_range(0..3),
+            5 if n > 0 => file.servers[pick].draining ^= true,
+            6 if n > 0 => file.servers[pick].id = rng.rand_range(0..12),
+            7 if n > 0 => file.servers[pick].started = Some(rng.rand_range(0..60)),
+            8 => file.version = (rng.rand_range(0..2) == 0).then(|| rng.rand_range(0..2)),
+            _ => {
+                file.takes_out = (rng.rand_range(0..2) == 0).then(|| rng.rand_range(0..4) as usize)
+            }
+        }
+    }
+    file
+}
+
+#[derive(Default)]
+struct Seen {
+    applied: usize,
+    refused: usize,
+    returned: usize,
+}
+
+fn check(seed: u64) -> Seen {
+    let mut rng = Rand64::new(u128::from(seed));
+    let count = rng.rand_range(1..4) as usize;
+    let spec = spec(count);
+    let mut lists = Lists::new(spec.clone());
+    let mut model = Model { good: vec![None; count], ..Model::default() };
+    let mut last = vec![File::default(); count];
+    let mut now = Time(1_764_576_000_000_000);
+    let mut seen = Seen::default();
+    for step in 0..30 {
+        now.0 += rng.rand_range(0..2_000_000) as i64;
+        lists.tick(now);
+        let mut readings: Vec<Reading> = Vec::new();
+        let mut files = Vec::new();
+        for (i, last) in last.iter_mut().enumerate() {
+            // From what is in force as often as from what was written last.
+            if rng.rand_range(0..2) == 0 {
+                *last = model.good[i].clone().unwrap_or_default();
+            }
+            if rng.rand_range(0..3) > 0 {
+                *last = draw(&mut rng, last);
+            }
+            let mut text = last.text();
+            // Broken by a cut somewhere.
+            let cut = rng.rand_range(0..8) == 0;
+            if cut {
+                text.truncate(rng.rand_range(0..text.len() as u64 - 1) as usize);
+            }
+            readings.push(read(&spec.files[i], text.as_bytes(), &spec).map(Arc::new));
+            let sound = !cut && last.is_sound();
+            assert_eq!(readings[i].is_ok(), sound, "SEED={seed} step {step}:\n{text}");
+            files.push(sound.then(|| last.clone()));
+        }
+        let before = lists.entries();
+        let revision = lists.version().0;
+        let offer = lists.offer(now, &readings);
+        let held = before.iter().map(|e| u64::from(e.address.port())).collect();
+        let expected = model.offer(&files, &held);
+        let place = format!("SEED={seed} step {step}: {offer:?}\n{files:#?}");
+        assert_eq!(offer.applied.is_some(), expected, "{place}");
+        let entries = lists.entries();
+        if let Some(applied) = &offer.applied {
+            assert_eq!(applied.revision, revision + 1, "{place}");
+            seen.applied += 1;
+            let back = |c: &&Change| matches!(c, Change::Returned { .. });
+            seen.returned += applied.changes.iter().filter(back).count();
+        } else {
+            assert_eq!(entries, before, "what is refused changes nothing: {place}");
+            seen.refused += 1;
+        }
+        // In force is what the model has, no more and no less.
+        let live: BTreeMap<SocketAddr, f64> = entries
+            .iter()
+            .filter(|e| e.status == Status::Live)
+            .map(|e| (e.address, e.size))
+            .collect();
+        let modelled: BTreeMap<SocketAddr, f64> = model
+            .servers
+            .iter()
+            .filter(|s| s.weight > 0 && !s.draining)
+            .map(|s| (SocketAddr::from(([127, 0, 0, 1], s.port as u16)), s.weight as f64))
+            .collect();
+        assert_eq!(live, modelled, "{place}");
+        // One entry for each address and one name for each entry: no lanes twice.
+        let addresses: BTreeSet<_> = entries.iter().map(|e| e.address).collect();
+        let names: BTreeSet<_> = entries.iter().map(|e| &e.id).collect();
+        assert_eq!((addresses.len(), names.len()), (entries.len(), entries.len()), "{place}");
+        // A name keeps its address unless that moved, and none is forgotten before its time.
+        let gone = before.iter().any(|e| !names.contains(&e.id));
+        assert!(!gone, "forgotten without a tick: {place}");
+        // What is held and named by no list drains, and for no longer than it may.
+        let next = lists.next().map_or(now.0, |next| next.0);
+        assert!(next <= now.0 + DRAIN, "{place}");
+    }
+    seen
+}
+
+#[test]
+fn lists_agree_with_the_naive_model() {
+    if let Some(seed) = std::env::var("SEED").ok().and_then(|s| s.parse().ok()) {
+        check(seed);
+        return;
+    }
+    let mut all = Seen::default();
+    for seed in 0..SEEDS {
+        let seen = check(seed);
+        all.applied += seen.applied;
+        all.refused += seen.refused;
+        all.returned += seen.returned;
+    }
+    // The histories do go everywhere.
+    let told =
+        format!("{} applied, {} refused, {} returned", all.applied, all.refused, all.returned);
+    assert!(all.applied > 5000 && all.refused > 5000 && all.returned > 300, "{told}");
+}
+
+#[test]
+fn a_file_cut_at_any_byte_is_refused_or_says_the_same() {
+    let spec = spec(1);
+    let text = "# Points nodes, \u{fc}ber alles\nversion = \"1\"\npool = \"p\"\ntakes_out = 12\n\n\
+        [[server]]\nid = \"a\"\naddress = \"127.0.0.1:9001\"\nweight = 10.25\n\n\
+        [[server]]\nid = \"b\"\naddress = \"[::1]:90\"\nzone = \"z\"\nstate = \"draining\"\n\
+        started = 2026-12-01T08:30:00.125+01:00\n\n\
+        [[server]]\nid = \"c\"\naddress = \"127.0.0.1:9003\"\n[[server]]\nid = \"d\"\n\
+        address = \"127.0.0.1:9004\"\n\n[end]\nservers = 4 # all\n";
+    let whole = read("0.toml", text.as_bytes(), &spec).expect("a good file");
+    let (mut refused, mut same) = (0, 0);
+    for cut in 0..text.len() {
+        match read("0.toml", &text.as_bytes()[..cut], &spec) {
+            Ok(listing) => {
+                assert_eq!(Listing { digest: whole.digest, ..listing }, whole, "cut at {cut}");
+                same += 1;
+            }
+            Err(problems) => {
+                assert!(!problems.is_empty());
+                refused += 1;
+            }
+        }
+    }
+    // All that may be missing is the comment and the line's end behind the number.
+    assert_eq!((refused, same), (text.len() - " # all\n".len(), " # all\n".len()));
+}
--- /dev/null
+++ b/crates/site/src/lib.rs
@@ -0,0 +1,252 @@
+//! An operator's configuration: listeners, classes, pools, routes. Text in, a checked site or all
+//! that is wrong out; no I/O.
+
+mod change;
+mod read;
+
+use std::net::SocketAddr;
+use std::ops::Range;
+
+use sableloom_routes::{Rule, Table, TableError};
+use sableloom_types::settings::{
+    Effect, Facts, FamilyInfo, Group, PolicyLimits, Prices, RegistryMode, Reports, Safety, Service,
+    Stats,
+};
+
+pub use change::unchangeable;
+pub use read::read;
+
+/// Where something stands in the file. Two things that differ only in this are the same.
+#[derive(Clone, Debug, Default)]
+pub struct Place {
+    /// In bytes.
+    pub span: Range<usize>,
+    /// From 1.
+    pub line: usize,
+    /// The field.
+    pub field: String,
+}
+
+impl PartialEq for Place {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+/// What the process may use.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Descriptors.
+    pub sockets: usize,
+    /// Memory.
+    pub memory_mb: usize,
+}
+
+/// Where this balancer stands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Locality {
+    /// Names of the zones; none if they do not matter.
+    pub zones: Vec<String>,
+    /// The zone of this balancer, by index.
+    pub zone: u32,
+    /// What an attempt that crosses zones costs, as a share of an answer's worth.
+    pub crossing: f64,
+    /// Balancers that share the servers, this one included.
+    pub balancers: u32,
+}
+
+/// What a listener speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protocol {
+    /// HTTP/1.1 (RFC 9112).
+    Http1,
+}
+
+/// Where clients come in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listener {
+    /// Where.
+    pub address: SocketAddr,
+    /// What it speaks.
+    pub protocol: Protocol,
+    /// Where it is written.
+    pub place: Place,
+}
+
+/// A class of requests; times in milliseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// An answer within this time earns the full worth.
+    pub aim_ms: f64,
+    /// The longest a client waits; what a request has that names no time of its own.
+    pub deadline_ms: f64,
+    /// What a repeat does.
+    pub effect: Effect,
+    /// For how long servers drop repeats of a keyed request.
+    pub window_ms: f64,
+    /// Methods that its requests may have.
+    pub methods: Vec<String>,
+    /// Worth of one request.
+    pub worth: f64,
+    /// Share of the worth after the aim.
+    pub late_worth: f64,
+    /// Where it is written.
+    pub place: Place,
+}
+
+/// How new servers are started; times in milliseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ColdStart {
+    /// A server starts at this share of its capacity or more.
+    pub from: f64,
+    /// And is warm no later than this.
+    pub time_ms: f64,
+    /// It falls over when sent more than this many times its present capacity
+    pub multiple: f64,
+    /// for this long.
+    pub window_ms: f64,
+}
+
+/// A pool of servers; times in milliseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pool {
+    /// Its name.
+    pub name: String,
+    /// What its servers speak.
+    pub protocol: Protocol,
+    /// The time within which its requests are to be answered: T_QoS.
+    pub t_qos_ms: f64,
+    /// A connection that is not up by then has failed.
+    pub connect_timeout_ms: f64,
+    /// When its servers close idle connections.
+    pub keepalive_ms: f64,
+    /// Most requests open at once.
+    pub max_open: usize,
+    /// Most attempts of a request.
+    pub max_attempts: usize,
+    /// The longest that a refused client is told to stay away; 0 to say nothing.
+    pub retry_after_ms: f64,
+    /// Load reports: where they come, and the values they carry.
+    pub reports: (Reports, Vec<String>),
+    /// Cold starts.
+    pub cold: ColdStart,
+    /// Files of servers, as written.
+    pub files: Vec<String>,
+    /// The largest share of its servers that one change takes out unless it says so.
+    pub out_at_most: f64,
+    /// How long a server that its lists leave out drains.
+    pub drain_ms: f64,
+    /// How often the files are read again without news of them.
+    pub reread_ms: f64,
+    /// Where it is written.
+    pub place: Place,
+}
+
+/// Where a route leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// To a pool, by index.
+    Pool(usize),
+    /// Nowhere: refused with this status of HTTP.
+    Refuse(u16),
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name, for people.
+    pub name: String,
+    /// What it asks of a request.
+    pub rule: Rule,
+    /// Where it leads.
+    pub target: Target,
+    /// Where it is written.
+    pub place: Place,
+}
+
+/// A configuration that makes sense.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Site {
+    /// What the process may use.
+    pub limits: Limits,
+    /// Where this balancer stands.
+    pub locality: Locality,
+    /// Where clients come in.
+    pub listeners: Vec<Listener>,
+    /// Classes, in their order.
+    pub classes: Vec<Class>,
+    /// Pools, in their order.
+    pub pools: Vec<Pool>,
+    /// Routes, in their order.
+    pub routes: Vec<Route>,
+    /// Where a request goes that no route takes.
+    pub otherwise: Target,
+    /// A hash of the text, the same in every process.
+    pub hash: String,
+}
+
+impl Site {
+    /// The routes, compiled.
+    pub fn table(&self) -> Result<Table, TableError> {
+        Table::compile(self.routes.iter().map(|route| route.rule.clone()).collect())
+    }
+
+    /// The longest deadline of any class, in milliseconds.
+    pub fn longest_ms(&self) -> f64 {
+        self.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max)
+    }
+
+    /// What the decision module of a pool is told.
+    pub fn facts(&self, pool: &Pool) -> Facts {
+        let (how, names) = pool.reports.clone();
+        Facts {
+            balancers: self.locality.balancers,
+            zone: self.locality.zone,
+            zones: self.locality.zones.clone(),
+            machine_types: Vec::new(),
+            tick: 1.0,
+            registry_mode: RegistryMode::Automatic,
+            services: self.classes.iter().map(Class::service).collect(),
+            tenants: Vec::new(),
+            policy_limits: PolicyLimits {
+                max_attempts: pool.max_attempts,
+                max_open: pool.max_open,
+                connect_timeout: pool.connect_timeout_ms,
+                keepalive: pool.keepalive_ms,
+                second_copies: false,
+                cancelling: true,
+                probes: matches!(how, Reports::Pull),
+                retry_after: pool.retry_after_ms > 0.0,
+                max_retry_after: pool.retry_after_ms,
+            },
+            safety: Safety {
+                ask_every: 0.0,
+                cold: pool.cold.time_ms,
+                cold_from: pool.cold.from,
+                fall_multiple: pool.cold.multiple,
+                tip_after: pool.cold.window_ms,
+            },
+            prices: Prices { cross_zone: self.locality.crossing },
+            stats: Stats { how, names },
+            family_info: FamilyInfo::default(),
+            t_qos: Some(pool.t_qos_ms),
+        }
+    }
+}
+
+impl Class {
+    fn service(&self) -> Service {
+        Service {
+            name: self.name.clone(),
+            aim: self.aim_ms,
+            deadline: self.deadline_ms,
+            effect: self.effect,
+            group: Group::All,
+            importance: self.worth,
+            late_value: self.late_worth,
+            window: self.window_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/site/src/read.rs
@@ -0,0 +1,451 @@
+//! Reads a site, and judges what no single field shows.
+
+use sableloom_checked::{self as checked, Found, Problem, Table, instead};
+use sableloom_routes::{Header, Host, Path, Rule};
+use sableloom_types::settings::{Effect, Reports};
+use sha2::{Digest, Sha256};
+
+use crate::{
+    Class, ColdStart, Limits, Listener, Locality, Place, Pool, Protocol, Route, Site, Target,
+};
+
+const HOUR_MS: f64 = 3_600_000.0;
+/// Methods that can be carried (RFC 9110, section 9.3; RFC 5789). CONNECT and TRACE are for the
+/// hop itself; the answer to HEAD has a length without a body, which is not carried.
+const METHODS: [&str; 6] = ["GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
+/// Values of load reports that the decision module knows.
+const REPORTS: [&str; 4] = ["inflight", "queue", "util", "latency_ms"];
+const REFUSALS: [(&str, u16); 5] = [
+    ("forbidden", 403),
+    ("not-found", 404),
+    ("gone", 410),
+    ("misdirected", 421),
+    ("unavailable", 503),
+];
+
+/// Reads a site's text; `file` is what problems call it.
+pub fn read(file: &str, text: &[u8]) -> Result<Site, Vec<Problem>> {
+    let starts = line_starts(text);
+    let mut site = checked::read(file, text, |root| site(root, &starts))?;
+    let digest = Sha256::digest(text);
+    site.hash = digest[..6].iter().map(|b| format!("{b:02x}")).collect();
+    Ok(site)
+}
+
+fn line_starts(bytes: &[u8]) -> Vec<usize> {
+    let breaks = bytes.iter().enumerate().filter(|(_, b)| **b == b'\n').map(|(i, _)| i + 1);
+    std::iter::once(0).chain(breaks).collect()
+}
+
+fn place(table: &Table<'_>, starts: &[usize]) -> Place {
+    let here = table.here();
+    let line = starts.partition_point(|start| *start <= here.span.start);
+    Place { span: here.span, line, field: here.field }
+}
+
+fn site(root: &Table<'_>, starts: &[usize]) -> Option<Site> {
+    let limits = limits(root.table("limits"));
+    let locality = locality(root.table("locality"));
+    let listeners = listeners(root, starts);
+    let classes = classes(root, starts);
+    let pools = pools(root, starts, &classes);
+    let routes = routes(root, starts, &classes, &pools);
+    let otherwise = match root.table("otherwise") {
+        None => Some(Target::Refuse(404)),
+        Some(table) => {
+            let target = target(&table, &pools);
+            table.finish();
+            target
+        }
+    };
+    Some(Site {
+        limits,
+        locality,
+        listeners,
+        classes: classes.into_iter().map(|(_, class)| class).collect(),
+        pools: pools.into_iter().map(|(_, pool)| pool).collect(),
+        routes,
+        otherwise: otherwise?,
+        hash: String::new(),
+    })
+}
+
+fn limits(table: Option<Table<'_>>) -> Limits {
+    let mut limits = Limits { sockets: 1024, memory_mb: 256 };
+    if let Some(table) = table {
+        if let Some(n) = table.whole("sockets", 64..=1_000_000, " descriptors") {
+            limits.sockets = n.value;
+        }
+        if let Some(n) = table.whole("memory_mb", 24..=1_000_000, " MB") {
+            limits.memory_mb = n.value;
+        }
+        table.finish();
+    }
+    limits
+}
+
+fn locality(table: Option<Table<'_>>) -> Locality {
+    let mut locality = Locality { zones: Vec::new(), zone: 0, crossing: 0.0, balancers: 1 };
+    let Some(table) = table else { return locality };
+    for zone in table.texts("zones") {
+        if locality.zones.contains(&zone.value) {
+            table.wrong(&zone, format!("{:?} is named twice", zone.value), None);
+        }
+        locality.zones.push(zone.value);
+    }
+    if let Some(zone) = table.text("zone") {
+        match locality.zones.iter().position(|name| *name == zone.value) {
+            Some(i) => locality.zone = i as u32,
+            None => {
+                let help = instead(&zone.value, locality.zones.iter().map(String::as_str));
+                table.wrong(&zone, format!("no zone {:?}", zone.value), Some(help));
+            }
+        }
+    } else if !locality.zones.is_empty() {
+        table.missing("zone", "which of the zones this balancer is in");
+    }
+    if let Some(price) = table.number("crossing", 0.0..=1.0, " of an answer's worth") {
+        locality.crossing = price.value;
+    }
+    if let Some(n) = table.whole("balancers", 1..=10_000, "") {
+        locality.balancers = n.value as u32;
+    }
+    table.finish();
+    locality
+}
+
+fn protocol(table: &Table<'_>) -> Protocol {
+    let words = [("http/1.1", Protocol::Http1)];
+    table.choice("protocol", &words).map_or(Protocol::Http1, |p| p.value)
+}
+
+fn listeners(root: &Table<'_>, starts: &[usize]) -> Vec<Listener> {
+    let mut listeners: Vec<Listener> = Vec::new();
+    let tables = root.tables("listener");
+    for table in &tables {
+        let protocol = protocol(table);
+        if let Some(address) = table.need_address("address") {
+            let taken = |l: &Listener| l.address == address.value && address.value.port() != 0;
+            if listeners.iter().any(taken) {
+                table.wrong(&address, format!("{} is another listener's", address.value), None);
+            }
+            let place = place(table, starts);
+            listeners.push(Listener { address: address.value, protocol, place });
+        }
+        table.finish();
+    }
+    if tables.is_empty() && !root.has("listener") {
+        root.missing("listener", "at least one [[listener]] with an address");
+    }
+    listeners
+}
+
+type Named<T> = Vec<(String, T)>;
+
+/// A name that is not yet taken.
+fn new_name<T>(table: &Table<'_>, taken: &Named<T>) -> Option<String> {
+    let name = table.need_name("name")?;
+    if taken.iter().any(|(other, _)| *other == name.value) {
+        table.wrong(&name, format!("{:?} is named twice", name.value), None);
+        return None;
+    }
+    Some(name.value)
+}
+
+fn classes(root: &Table<'_>, starts: &[usize]) -> Named<Class> {
+    let mut classes: Named<Class> = Vec::new();
+    let tables = root.tables("class");
+    for table in &tables {
+        let name = new_name(table, &classes);
+        let aim = table.need_number("aim_ms", 1.0..=HOUR_MS, " ms");
+        let deadline = table.need_number("deadline_ms", 1.0..=HOUR_MS, " ms");
+        if let (Some(aim), Some(deadline)) = (&aim, &deadline)
+            && deadline.value < aim.value
+        {
+            let message = format!("{} ms is under the aim of {} ms", deadline.value, aim.value);
+            table.wrong(deadline, message, None);
+        }
+        let words =
+            [("safe", Effect::Retryable), ("keyed", Effect::Dedup), ("unsafe", Effect::Fragile)];
+        let effect = table.choice("effect", &words);
+        if effect.is_none() && !table.has("effect") {
+            table.missing("effect", "\"safe\", \"keyed\" or \"unsafe\"");
+        }
+        let keyed = effect.as_ref().is_some_and(|e| e.value == Effect::Dedup);
+        let window = table.number("window_ms", 1.0..=24.0 * HOUR_MS, " ms");
+        match &window {
+            None if keyed && !table.has("window_ms") => {
+                table.missing("window_ms", "for how long servers drop repeats");
+            }
+            Some(window) if !keyed && effect.is_some() => {
+                table.wrong(window, "only a keyed class has it", None);
+            }
+            _ => {}
+        }
+        let methods = methods(table);
+        if methods.is_empty() && !table.has("methods") {
+            table.missing("methods", "at least one method");
+        }
+        let worth = table.number("worth", 0.001..=1000.0, "").map_or(1.0, |w| w.value);
+        let late_worth = table.number("late_worth", 0.0..=1.0, "").map_or(0.0, |w| w.value);
+        table.finish();
+        let (Some(name), Some(aim), Some(deadline), Some(effect)) = (name, aim, deadline, effect)
+        else {
+            continue;
+        };
+        let class = Class {
+            name: name.clone(),
+            aim_ms: aim.value,
+            deadline_ms: deadline.value,
+            effect: effect.value,
+            window_ms: window.map_or(0.0, |w| w.value),
+            methods,
+            worth,
+            late_worth,
+            place: place(table, starts),
+        };
+        classes.push((name, class));
+    }
+    if tables.is_empty() && !root.has("class") {
+        root.missing("class", "at least one [[class]]");
+    }
+    classes
+}
+
+fn methods(table: &Table<'_>) -> Vec<String> {
+    let mut methods = Vec::new();
+    for method in table.texts("methods") {
+        if !METHODS.contains(&method.value.as_str()) {
+            let help = instead(&method.value.to_ascii_uppercase(), METHODS);
+            table.wrong(&method, format!("{:?} is not carried", method.value), Some(help));
+        }
+        methods.push(method.value);
+    }
+    methods
+}
+
+fn pools(root: &Table<'_>, starts: &[usize], classes: &Named<Class>) -> Named<Pool> {
+    let longest = classes.iter().map(|(_, c)| c.deadline_ms).fold(1000.0, f64::max);
+    let aims: f64 = classes.iter().map(|(_, c)| c.aim_ms).sum();
+    let mean = aims / classes.len().max(1) as f64;
+    let mut pools: Named<Pool> = Vec::new();
+    let tables = root.tables("pool");
+    for table in &tables {
+        let name = new_name(table, &pools);
+        let ms = |field: &'static str, least: f64, otherwise: f64| {
+            table.number(field, least..=24.0 * HOUR_MS, " ms").map_or(otherwise, |n| n.value)
+        };
+        let whole = |field: &'static str, most: usize, otherwise: usize| {
+            table.whole(field, 1..=most, "").map_or(otherwise, |n| n.value)
+        };
+        let files = table.texts("files");
+        for (i, file) in files.iter().enumerate() {
+            if file.value.is_empty() {
+                table.wrong(file, "a file has a name", None);
+            } else if files[..i].iter().any(|f| f.value == file.value) {
+                table.wrong(file, format!("{:?} is named twice", file.value), None);
+            }
+        }
+        if files.is_empty() {
+            let found = Found { field: format!("{}.files", table.here().field), ..table.here() };
+            table.wrong(&found, "expected at least one file of servers", None);
+        }
+        let out_at_most = table.number("out_at_most", 0.0..=1.0, " of the servers");
+        let pool = Pool {
+            name: name.clone().unwrap_or_default(),
+            protocol: protocol(table),
+            t_qos_ms: ms("t_qos_ms", 1.0, mean),
+            connect_timeout_ms: ms("connect_timeout_ms", 1.0, 250.0),
+            keepalive_ms: ms("keepalive_ms", 1.0, 15_000.0),
+            max_open: whole("max_open", 1_000_000, 1000),
+            max_attempts: whole("max_attempts", 16, 4),
+            retry_after_ms: ms("retry_after_ms", 0.0, 1000.0),
+            reports: reports(table.table("reports")),
+            cold: cold(table.table("cold")),
+            files: files.into_iter().map(|f| f.value).collect(),
+            out_at_most: out_at_most.map_or(0.5, |n| n.value),
+            drain_ms: ms("drain_ms", 0.0, longest),
+            reread_ms: ms("reread_ms", 10.0, 5000.0),
+            place: place(table, starts),
+        };
+        table.finish();
+        if let Some(name) = name {
+            pools.push((name, pool));
+        }
+    }
+    if tables.is_empty() && !root.has("pool") {
+        root.missing("pool", "at least one [[pool]]");
+    }
+    pools
+}
+
+fn reports(table: Option<Table<'_>>) -> (Reports, Vec<String>) {
+    let Some(table) = table else { return (Reports::Silent, Vec::new()) };
+    let words =
+        [("none", Reports::Silent), ("answers", Reports::Piggyback), ("probes", Reports::Pull)];
+    let how = table.choice("how", &words).map_or(Reports::Silent, |how| how.value);
+    let mut names = Vec::new();
+    for name in table.texts("names") {
+        if !REPORTS.contains(&name.value.as_str()) {
+            let help = instead(&name.value, REPORTS);
+            table.wrong(&name, format!("{:?} is no known value", name.value), Some(help));
+        }
+        names.push(name.value);
+    }
+    if how != Reports::Silent && names.is_empty() && !table.has("names") {
+        table.missing("names", "the values that reports carry");
+    }
+    table.finish();
+    (how, names)
+}
+
+fn cold(table: Option<Table<'_>>) -> ColdStart {
+    let mut cold = ColdStart { from: 0.2, time_ms: 30_000.0, multiple: 2.0, window_ms: 1500.0 };
+    let Some(table) = table else { return cold };
+    if let Some(from) = table.number("from", 0.01..=1.0, " of its capacity") {
+        cold.from = from.value;
+    }
+    if let Some(time) = table.number("time_ms", 0.0..=HOUR_MS, " ms") {
+        cold.time_ms = time.value;
+    }
+    if let Some(multiple) = table.number("multiple", 1.0..=100.0, " times its capacity") {
+        cold.multiple = multiple.value;
+    }
+    if let Some(window) = table.number("window_ms", 1.0..=HOUR_MS, " ms") {
+        cold.window_ms = window.value;
+    }
+    table.finish();
+    cold
+}
+
+fn routes(
+    root: &Table<'_>,
+    starts: &[usize],
+    classes: &Named<Class>,
+    pools: &Named<Pool>,
+) -> Vec<Route> {
+    let mut routes = Vec::new();
+    let mut names: Named<()> = Vec::new();
+    for table in root.tables("route") {
+        let name = new_name(&table, &names);
+        names.extend(name.clone().map(|name| (name, ())));
+        let rule = Rule {
+            hosts: hosts(&table),
+            paths: paths(table.table("path")),
+            methods: methods(&table),
+            headers: headers(&table),
+            classes: table
+                .texts("class")
+                .into_iter()
+                .filter_map(|class| index(&table, &class, classes, "class"))
+                .collect(),
+        };
+        let target = target(&table, pools);
+        table.finish();
+        if let (Some(name), Some(target)) = (name, target) {
+            routes.push(Route { name, rule, target, place: place(&table, starts) });
+        }
+    }
+    routes
+}
+
+fn index<T>(
+    table: &Table<'_>,
+    name: &Found<String>,
+    known: &Named<T>,
+    what: &str,
+) -> Option<usize> {
+    let at = known.iter().position(|(other, _)| *other == name.value);
+    if at.is_none() {
+        let help = instead(&name.value, known.iter().map(|(name, _)| name.as_str()));
+        table.wrong(name, format!("no {what} {:?}", name.value), Some(help));
+    }
+    at
+}
+
+fn target(table: &Table<'_>, pools: &Named<Pool>) -> Option<Target> {
+    let (pool, refuse) = (table.text("pool"), table.choice("refuse", &REFUSALS));
+    match (pool, refuse) {
+        (Some(_), Some(refuse)) => {
+            table.wrong(&refuse, "a route has a pool or a refusal, not both", None);
+            None
+        }
+        (Some(pool), None) => index(table, &pool, pools, "pool").map(Target::Pool),
+        (None, Some(refuse)) => Some(Target::Refuse(refuse.value)),
+        (None, None) => {
+            if !table.has("pool") && !table.has("refuse") {
+                table.missing("pool", "a pool, or refuse = \"not-found\"");
+            }
+            None
+        }
+    }
+}
+
+fn hosts(table: &Table<'_>) -> Vec<Host> {
+    let mut hosts = Vec::new();
+    for host in table.texts("host") {
+        let (under, name) = match host.value.strip_prefix("*.") {
+            Some(name) => (true, name),
+            None => (false, host.value.as_str()),
+        };
+        let part = |p: &str| {
+            !p.is_empty()
+                && p.len() <= 63
+                && p.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_')
+        };
+        // RFC 1035, section 2.3.1; an IPv6 address in its brackets, RFC 3986, section 3.2.2.
+        let six = name.strip_prefix('[').and_then(|n| n.strip_suffix(']'));
+        let fits = match six {
+            Some(address) => !under && address.parse::<std::net::Ipv6Addr>().is_ok(),
+            None => name.len() <= 255 && name.split('.').all(part),
+        };
+        if !fits {
+            let message = format!("{:?} is no host name", host.value);
+            let help = "expected a name without a port, as \"shop.example\" or \"*.shop.example\"";
+            table.wrong(&host, message, Some(help.to_string()));
+            continue;
+        }
+        let name = name.to_ascii_lowercase();
+        hosts.push(if under { Host::Under(name) } else { Host::Exact(name) });
+    }
+    hosts
+}
+
+fn paths(table: Option<Table<'_>>) -> Vec<Path> {
+    let Some(table) = table else { return Vec::new() };
+    let mut paths = Vec::new();
+    type Make = fn(String) -> Path;
+    let kinds: [(&'static str, Make); 3] =
+        [("exact", Path::Exact), ("prefix", Path::Prefix), ("suffix", Path::Suffix)];
+    for (kind, make) in kinds {
+        for path in table.texts(kind) {
+            let starts = kind == "suffix" || path.value.starts_with('/') || path.value == "*";
+            let clean = path.value.bytes().all(|b| b.is_ascii_graphic() && !b"?#".contains(&b));
+            if !starts || !clean || path.value.is_empty() {
+                let message = format!("{:?} is no path as clients send it", path.value);
+                let help = "it begins with \"/\", is percent-encoded and has no query";
+                table.wrong(&path, message, Some(help.to_string()));
+            }
+            paths.push(make(path.value));
+        }
+    }
+    if paths.is_empty() {
+        table.missing("prefix", "exact, prefix or suffix");
+    }
+    table.finish();
+    paths
+}
+
+fn headers(table: &Table<'_>) -> Vec<Header> {
+    let mut headers = Vec::new();
+    for (name, value) in table.pairs("header") {
+        // RFC 9110, section 5.6.2.
+        let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+        if name.value.is_empty() || !name.value.bytes().all(token) {
+            table.wrong(&name, format!("{:?} is no header's name", name.value), None);
+            continue;
+        }
+        headers.push(Header { name: name.value.to_ascii_lowercase(), value });
+    }
+    headers
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod settings;
 
+use std::net::SocketAddr;
+
 /// A point on the caller's clock, in microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Time(pub i64);
@@ -144,6 +146,8 @@
     pub cross_zone_price: f64,
     /// An upstream that met a key lately serves it with less work.
     pub warm_keys: bool,
+    /// The time within which requests are to be answered, T_QoS; the mean of the aims if none.
+    pub t_qos: Option<Span>,
 }
 
 /// Why a balancer could not be made.
@@ -189,6 +193,27 @@
     pub started: Option<Time>,
 }
 
+/// A server as a source names it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Its name, the same for as long as it is the same machine.
+    pub id: Box<str>,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Its zone, named as in the settings.
+    pub zone: Box<str>,
+    /// Its machine kind, named as in the settings.
+    pub kind: Box<str>,
+    /// Its cell.
+    pub cell: u32,
+    /// Its state.
+    pub status: Status,
+    /// Its relative size.
+    pub size: f64,
+    /// When it last started, in Unix milliseconds; 0 for long ago.
+    pub up_since_ms: f64,
+}
+
 /// What kind of list event came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListKind {
--- a/crates/types/src/settings.rs
+++ b/crates/types/src/settings.rs
@@ -67,10 +67,13 @@
     /// Properties of the kind of service.
     #[serde(default)]
     pub family_info: FamilyInfo,
+    /// T_QoS in milliseconds, where an operator sets it.
+    #[serde(skip)]
+    pub t_qos: Option<f64>,
 }
 
 /// How the list of upstreams comes.
-#[derive(Clone, Copy, Deserialize, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(rename_all = "lowercase")]
 pub enum RegistryMode {
     /// Changes are delivered unasked.
@@ -107,7 +110,7 @@
 }
 
 /// What a repeat does.
-#[derive(Clone, Copy, Deserialize, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(rename_all = "lowercase")]
 pub enum Effect {
     /// Nothing.
@@ -221,7 +224,7 @@
 }
 
 /// Where load reports come.
-#[derive(Clone, Copy, Deserialize, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Default, PartialEq)]
 #[serde(rename_all = "lowercase")]
 pub enum Reports {
     /// On answers and probes.
@@ -300,6 +303,7 @@
             },
             cross_zone_price: self.prices.cross_zone,
             warm_keys: self.family_info.warm_keys,
+            t_qos: self.t_qos.map(span),
         }
     }
 }
