--- a/crates/sableloom/tests/sockets/limits.rs
+++ b/crates/sableloom/tests/sockets/limits.rs
@@ -21,6 +21,17 @@
     config
 }
 
+/// As small, but with so many servers and so much time that the decision module refuses nobody.
+fn roomy(upstream: &Peer) -> Value {
+    let mut config = config(&[upstream.address; 30]);
+    config["limits"]["sockets"] = SOCKETS.into();
+    for class in 0..3 {
+        config["settings"]["Services"][class]["Aim"] = json!(4000.0);
+        config["settings"]["Services"][class]["Deadline"] = json!(60_000.0);
+    }
+    config
+}
+
 /// Waits for all threads, and no longer than [`LONG`] for each to tell that it is done.
 fn all_done(done: &Receiver<()>, count: usize, what: &str) {
     for i in 0..count {
@@ -99,23 +110,31 @@
 #[test]
 fn ten_times_the_limit_at_once_are_all_answered() {
     let (upstream, _came) = Peer::serving();
-    let balancer = Balancer::start(small(&upstream));
+    let balancer = Balancer::start(roomy(&upstream));
     let ask = |i: usize| {
         let mut client = balancer.client();
         client.write(read(&i.to_string(), ""));
         client
     };
     let crowd: Vec<_> = (0..10 * PLACES).map(ask).collect();
-    let mut again = 0;
+    let (mut again, mut turned_away) = (0, 0);
+    // None closes of itself.
+    let mut stay = Vec::new();
     for (i, mut client) in crowd.into_iter().enumerate() {
         // One that was let in before its request had come may have made room: then it asks anew.
         let answer = client.message().or_else(|| {
             again += 1;
-            ask(i).message()
+            client = ask(i);
+            client.message()
         });
-        settled(&answer.unwrap_or_else(|| panic!("client {i}: no answer")));
+        stay.push(client);
+        let answer = answer.unwrap_or_else(|| panic!("client {i}: no answer"));
+        settled(&answer);
+        turned_away += usize::from(answer.status() == 503);
         assert!(balancer.descriptors() <= SOCKETS);
     }
+    // Those that have their answer make room; some hundred would be sent away if they did not.
+    assert!(turned_away < PLACES, "{turned_away} were turned away");
     assert!(again < PLACES, "{again} made room before they could ask");
 }
 
@@ -222,15 +241,8 @@
         conn.write(ok(&"a".repeat(60_000)));
         true
     });
-    // So many servers, and so much time, that the decision module refuses nobody: what is refused
-    // has a short answer, and a buffer holds many of those.
-    let mut config = config(&[upstream.address; 30]);
-    config["limits"]["sockets"] = SOCKETS.into();
-    for class in 0..3 {
-        config["settings"]["Services"][class]["Aim"] = json!(4000.0);
-        config["settings"]["Services"][class]["Deadline"] = json!(60_000.0);
-    }
-    let balancer = Balancer::start(config);
+    // None is refused: what is refused has a short answer, and a buffer holds many of those.
+    let balancer = Balancer::start(roomy(&upstream));
     // Each pipelines far more than both sides' buffers hold, and takes nothing.
     let deaf: Vec<_> = (0..PLACES)
         .map(|i| {
