Number the configuration in force; test cold starts; all places for clients that ask

The log of the main file named a hash only; it has a number now, as lists have. A site's clients are not bounded on their side, so all client places may rest, not a third of the descriptors.

A test over sockets: a new server gets less than a third of what it gets once its start is stated as long ago.

--- a/crates/sableloom/src/serve.rs
+++ b/crates/sableloom/src/serve.rs
@@ -71,6 +71,8 @@
 
 /// The configuration in force.
 struct Routing {
+    /// From 1, one more with each configuration that is taken over.
+    number: u64,
     site: Site,
     table: Table,
     /// In the order of the site's pools.
@@ -217,14 +219,16 @@
             old.pools.iter().filter(|p| !pools.iter().any(|q| Rc::ptr_eq(p, q))).cloned().collect();
         gone.iter().for_each(|pool| pool.files.stop());
         let what = format!(
-            "configuration {} in force: {} routes, {} pools{}",
+            "configuration {} ({}) in force: {} routes, {} pools{}",
+            old.number + 1,
             site.hash,
             site.routes.len(),
             pools.len(),
             named(", without ", gone.iter().map(|p| p.name.as_str())),
         );
         router.ending.borrow_mut().extend(gone);
-        *router.routing.borrow_mut() = Rc::new(Routing { site, table, pools });
+        *router.routing.borrow_mut() =
+            Rc::new(Routing { number: old.number + 1, site, table, pools });
         Ok(what)
     }
 }
@@ -241,7 +245,9 @@
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let (site, table) = load(&path).map_err(|wrong| told(&wrong))?;
     let other = SOCKETS_OTHER + site.listeners.len() + SOCKETS_POOL * site.pools.len();
-    let (clients, upstreams) = split(site.limits.memory_mb, site.limits.sockets, other);
+    let (mut clients, upstreams) = split(site.limits.memory_mb, site.limits.sockets, other);
+    // Nothing bounds clients on their side, as the platform does.
+    clients.asking = clients.places;
     if upstreams < site.pools.len() {
         let least = other + site.pools.len() * 5 / 2;
         let sockets = site.limits.sockets;
@@ -283,14 +289,14 @@
         .collect::<Result<Vec<_>, _>>()?;
     let longest = Duration::from_secs_f64(site.longest_ms() / 1e3);
     let hash = site.hash.clone();
-    let routing = Rc::new(Routing { site, table, pools });
+    let routing = Rc::new(Routing { number: 1, site, table, pools });
     let router = Rc::new(Router { routing: RefCell::new(routing), ending: RefCell::default() });
     let frontend = Frontend::new(router.clone(), facts, Dialect::Open(methods), clock, &clients);
     for listener in &listeners {
         let address = listener.local_addr().map_err(|e| format!("a listener: {e}"))?;
         eprintln!("sableloom: listening on {address}");
     }
-    eprintln!("sableloom: configuration {hash} in force");
+    eprintln!("sableloom: configuration 1 ({hash}) in force");
     let door = Door::open(frontend.clone(), listeners, longest);
     let sweeps = router.clone();
     spawn_local(async move {
--- a/crates/sableloom/tests/sockets/server_files.rs
+++ b/crates/sableloom/tests/sockets/server_files.rs
@@ -403,6 +403,28 @@
     assert_eq!(opened.load(Ordering::SeqCst), before);
 }
 
+#[test]
+fn a_new_server_starts_cold_and_one_that_has_long_been_up_does_not() {
+    let (a, b) = (named("a"), named("b"));
+    // A server starts with a hundredth of its capacity, and takes an hour.
+    let text = one_pool("").replace("time_ms = 0", "time_ms = 3600000\nfrom = 0.01");
+    let site = Site::new(&text);
+    site.write("points.toml", &list(&[("a", &a)]));
+    let balancer = Balancer::serving(&site);
+    let ask =
+        |what: &str| (0..200).filter(|i| serves(&balancer, &format!("{what}-{i}")) == "b").count();
+    assert_eq!(ask("alone"), 0);
+    site.replace("points.toml", &list(&[("a", &a), ("b", &b)]));
+    balancer.says(&["in force", "added b"]);
+    let cold = ask("cold");
+    let warm = [("a", a.address, ""), ("b", b.address, "started = 2020-01-01T00:00:00Z")];
+    site.replace("points.toml", &servers("", warm));
+    balancer.says(&["in force", "restarted b"]);
+    let warm = ask("warm");
+    // Half of them, by lot, once it counts as warm.
+    assert!(cold * 3 < warm && warm > 40, "{cold} of 200 while cold, {warm} of 200 warm");
+}
+
 // ---------------------------------------------------------------- the main file
 
 fn two_pools(routes: &str) -> String {
