Make three tests of server files provoke what they are named for

Run without their defence, three passed: a file without its end was never cut where it reads like a list; news of one swap hid that the folder behind a link was not watched; and the folder that was replaced was itself watched. They fail now without the end, and without the slow re-read; without following links the test does not come to its end.

--- a/crates/sableloom/tests/sockets/server_files.rs
+++ b/crates/sableloom/tests/sockets/server_files.rs
@@ -94,7 +94,9 @@
     fs::write(site.path("points.toml"), "").expect("emptied");
     balancer.says(&["points.toml:1:1", "empty"]);
     let mut file = OpenOptions::new().append(true).open(site.path("points.toml")).expect("a file");
-    let cuts = [0, 10, 30, text.len() - 14, text.len()];
+    // Up to the end that is missing it reads like a list.
+    let end = text.find("[end]").expect("an end");
+    let cuts = [0, 10, 30, end, end + 7, text.len()];
     for (i, part) in cuts.windows(2).enumerate() {
         file.write_all(&text.as_bytes()[part[0]..part[1]]).expect("a piece");
         if part[1] < text.len() {
@@ -127,9 +129,14 @@
         assert_eq!(serves(&balancer, name), id);
     }
     // In place, behind the links: the folder that they lead to now is watched as well.
-    version("..4", &list(&[("b", &b)]));
-    balancer.says(&["in force", "b"]);
-    assert_eq!(serves(&balancer, "last"), "b");
+    // More than once, as the news of the swap may still be about.
+    for round in 0..3 {
+        for (id, peer) in [("b", &b), ("a", &a)] {
+            version("..4", &list(&[(id, peer)]));
+            balancer.says(&["in force", &format!("ed {id},")]);
+            assert_eq!(serves(&balancer, &format!("{id}-{round}")), id);
+        }
+    }
 }
 
 #[test]
@@ -165,21 +172,29 @@
 fn what_no_watch_tells_is_read_after_a_while() {
     let (a, b) = (named("a"), named("b"));
     let text = one_pool("out_at_most = 1.0").replace("600000", "50");
-    let site = Site::new(&text.replace("points.toml", "sub/points.toml"));
-    fs::create_dir(site.path("sub")).expect("a folder");
-    site.write("sub/points.toml", &list(&[("a", &a)]));
+    let site = Site::new(&text.replace("points.toml", "top/sub/points.toml"));
+    fs::create_dir_all(site.path("top/sub")).expect("folders");
+    site.write("top/sub/points.toml", &list(&[("a", &a)]));
     let balancer = Balancer::serving(&site);
-    // The folder is another one, and the watch is on the one that was.
-    fs::create_dir(site.path("new")).expect("a folder");
-    site.write("new/points.toml", &list(&[("b", &b)]));
-    fs::rename(site.path("sub"), site.path("old")).expect("a rename");
-    fs::rename(site.path("new"), site.path("sub")).expect("a rename");
-    balancer.says(&["in force", "added b"]);
-    assert_eq!(serves(&balancer, "1"), "b");
+    // A folder further up is another one, as after a mount: the watch is on what was below the old
+    // one, where nothing happens.
+    for round in 0..3 {
+        for (id, peer) in [("b", &b), ("a", &a)] {
+            // By then all earlier news is read.
+            (0..100).for_each(|n| drop(serves(&balancer, &format!("{id}-{round}-{n}"))));
+            fs::create_dir_all(site.path("new/sub")).expect("folders");
+            site.write("new/sub/points.toml", &list(&[(id, peer)]));
+            fs::rename(site.path("top"), site.path(&format!("old-{id}-{round}")))
+                .expect("a rename");
+            fs::rename(site.path("new"), site.path("top")).expect("a rename");
+            balancer.says(&["in force", &format!("ed {id},")]);
+            assert_eq!(serves(&balancer, &format!("{id}-{round}")), id);
+        }
+    }
     // And the new one is watched, or read.
-    site.write("sub/points.toml", &list(&[("a", &a)]));
-    balancer.says(&["in force", "a"]);
-    assert_eq!(serves(&balancer, "2"), "a");
+    site.write("top/sub/points.toml", &list(&[("b", &b)]));
+    balancer.says(&["in force", "ed b"]);
+    assert_eq!(serves(&balancer, "2"), "b");
 }
 
 /// One that asks all the time until told to stop, and keeps what came: for each request which list
