--- a/crates/http1/src/upstream.rs
+++ b/crates/http1/src/upstream.rs
@@ -73,12 +73,31 @@
         if let Ok(slot) = self.slots.clone().try_acquire_owned() {
             return Some(slot);
         }
+        self.close_longest_idle();
+        self.slots.clone().acquire_owned().await.ok()
+    }
+
+    /// Closes the connection that has been idle longest; whether there was one.
+    fn close_longest_idle(&self) -> bool {
         let users: Vec<_> = self.users.borrow().iter().filter_map(Weak::upgrade).collect();
         let longest = users.iter().filter_map(|user| Some((user.longest_idle()?, user)));
-        if let Some((_, user)) = longest.min_by_key(|(rested, _)| *rested) {
-            user.idle.borrow_mut().pop_front();
+        let Some((_, user)) = longest.min_by_key(|(rested, _)| *rested) else { return false };
+        let closed = user.idle.borrow_mut().pop_front();
+        closed.is_some()
+    }
+
+    /// Gives up so many descriptors for as long as the permit lives; idle connections make room.
+    /// `None`, and nothing is given up, if too many carry requests.
+    pub fn lend(&self, many: usize) -> Option<OwnedSemaphorePermit> {
+        let wanted = u32::try_from(many).ok()?;
+        loop {
+            if let Ok(permit) = self.slots.clone().try_acquire_many_owned(wanted) {
+                return Some(permit);
+            }
+            if !self.close_longest_idle() {
+                return None;
+            }
         }
-        self.slots.clone().acquire_owned().await.ok()
     }
 }
 
--- /dev/null
+++ b/crates/mirror/src/lib.rs
@@ -0,0 +1,155 @@
+//! Copies of answered safe requests to a candidate pool, and what comes of them. The requests are
+//! watched on the thread that serves them ([`Mirror`]); all else, from connections to comparing, is
+//! done on another of low priority, so that a candidate that hangs holds up nothing but itself.
+//! What is copied and what two answers differ in is decided in `sableloom-shadow`.
+
+mod live;
+mod side;
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::Bytes;
+use sableloom_checked::Problem;
+use sableloom_exchange::{Answer, Clock, Fields};
+use sableloom_serverfiles::Files;
+use sableloom_shadow::{Bounds, Changes, Copied, Counts, End, Gate, Rules};
+use sableloom_types::settings::Facts;
+use sableloom_types::{Span, Time};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+
+pub use live::Mirror;
+
+/// Descriptors of the side thread beside its connections: its event queue and waker, a watch and a
+/// file that is read for each pool, the record.
+pub const SOCKETS_SIDE: usize = 4;
+/// For each of its pools.
+pub const SOCKETS_POOL: usize = 4;
+/// The field that tells the candidate what it serves; its value is the shadow's name.
+pub const MARK: &str = "x-shadow";
+/// The field that holds a request's id, in every protocol's mapping.
+const ID_FIELD: &str = "x-trace-id";
+/// What the ids of copies end in.
+pub const ID_END: &[u8] = b"-shadow";
+
+/// A pool that gets copies.
+pub struct Group {
+    /// Its name.
+    pub name: String,
+    /// What its decision module is told.
+    pub facts: Facts,
+    /// Its servers.
+    pub files: Files,
+}
+
+/// A shadow, as it is set.
+pub struct Options {
+    /// Its name.
+    pub name: String,
+    /// The live pool's name.
+    pub live: String,
+    /// Where copies go.
+    pub candidate: Group,
+    /// Where the same copies go to tell what differs by itself.
+    pub control: Option<Group>,
+    /// What copying may cost.
+    pub bounds: Bounds,
+    /// How answers are compared.
+    pub rules: Rules,
+    /// The classes' names and aims in milliseconds.
+    pub classes: Vec<(String, f64)>,
+    /// How long a copy may take.
+    pub time: Duration,
+    /// A change is seen by every server no later than this after its end.
+    pub settle: Span,
+    /// One of which it is not known whether it ran has run or never will so long after.
+    pub doubt: Span,
+    /// Fields of requests that are not copied, in lower case.
+    pub drop: Vec<String>,
+    /// Values that differ are written down.
+    pub values: bool,
+    /// Where the record is written.
+    pub record: PathBuf,
+    /// And how often.
+    pub record_every: Duration,
+    /// The clock of the live side.
+    pub clock: Clock,
+    /// The descriptors that it may use; given back when it has ended.
+    pub sockets: OwnedSemaphorePermit,
+}
+
+impl Options {
+    /// Descriptors that a shadow of so many copies at once and so many pools needs.
+    pub fn sockets(in_flight: usize, pools: usize) -> usize {
+        SOCKETS_SIDE + pools * (SOCKETS_POOL + in_flight)
+    }
+}
+
+/// A request and its live answer, on their way to the other thread.
+struct Job {
+    copied: Copied,
+    class: usize,
+    tenant: usize,
+    key: Option<u64>,
+    id: Bytes,
+    verb: Bytes,
+    target: Bytes,
+    fields: Fields,
+    body: Bytes,
+    answer: Answer,
+    /// When it was taken, and how long it took.
+    taken: Time,
+    took: Span,
+}
+
+/// What both threads hold.
+struct Shared {
+    changes: Changes,
+    counts: Arc<Counts>,
+}
+
+/// Ends of copies, back to the gate. There are never more than copies out.
+type Ends = mpsc::UnboundedSender<(Copied, End)>;
+
+/// A shadow that is ready, and begins with [`Ready::go`].
+pub struct Ready {
+    mirror: Mirror,
+    go: oneshot::Sender<Option<JoinHandle<()>>>,
+}
+
+impl Ready {
+    /// Reads its files and makes ready, or tells all that is wrong.
+    pub async fn new(options: Options) -> Result<Self, Vec<Problem>> {
+        let gate = Gate::new(options.bounds.clone(), options.clock.now());
+        let shared = Shared { changes: Changes::new(options.settle), counts: gate.counts() };
+        let shared = Arc::new(shared);
+        let (jobs, taken) = mpsc::channel(options.bounds.in_flight);
+        let (ends, ended) = mpsc::unbounded_channel();
+        let (ready, is_ready) = oneshot::channel();
+        let (go, goes) = oneshot::channel();
+        let name = options.name.clone();
+        let live = live::Settings::of(&options);
+        let theirs = shared.clone();
+        let failed = |what: String| vec![Problem::of_file(&name, format!("shadow: {what}"))];
+        let thread = std::thread::Builder::new()
+            .name("shadow".into())
+            .spawn(move || side::run(options, theirs, taken, ends, ready, goes))
+            .map_err(|e| failed(format!("no thread: {e}")))?;
+        match is_ready.await {
+            Ok(Ok(())) => {}
+            Ok(Err(wrong)) => return Err(wrong),
+            Err(_) => return Err(failed("its thread ended".into())),
+        }
+        Ok(Self { mirror: Mirror::new(live, gate, shared, jobs, ended, thread), go })
+    }
+
+    /// Begins, once the thread of the one that it takes the place of has ended: what that one still
+    /// has out at the same servers is then over.
+    pub fn go(self, after: Option<JoinHandle<()>>) -> Mirror {
+        // A thread that has ended meanwhile is seen with the first copy.
+        let _ = self.go.send(after);
+        self.mirror
+    }
+}
--- /dev/null
+++ b/crates/mirror/src/live.rs
@@ -0,0 +1,242 @@
+//! The live side: watches requests on their way, and hands over copies of what has been answered.
+
+use std::cell::{Cell, RefCell};
+use std::hash::Hasher;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use bytes::Bytes;
+use rustc_hash::FxHasher;
+use sableloom_exchange::{
+    Answer, Asked, Clock, Exchange, Fields, Message, Reply, Service, Turned, Work,
+};
+use sableloom_shadow::{Copied, End, Gate};
+use sableloom_types::{Effect, Span, Time};
+use tokio::sync::mpsc::{Sender, UnboundedReceiver, error::TrySendError};
+use tokio::task::spawn_local;
+
+use crate::{Job, Options, Shared};
+
+/// What the live side goes by.
+pub(crate) struct Settings {
+    name: String,
+    clock: Clock,
+    doubt: Span,
+}
+
+impl Settings {
+    pub(crate) fn of(options: &Options) -> Self {
+        Self { name: options.name.clone(), clock: options.clock, doubt: options.doubt }
+    }
+}
+
+/// A shadow over a live pool.
+pub struct Mirror {
+    settings: Settings,
+    gate: RefCell<Gate>,
+    shared: Arc<Shared>,
+    jobs: RefCell<Option<Sender<Job>>>,
+    ended: RefCell<UnboundedReceiver<(Copied, End)>>,
+    thread: Cell<Option<JoinHandle<()>>>,
+}
+
+impl Mirror {
+    pub(crate) fn new(
+        settings: Settings,
+        gate: Gate,
+        shared: Arc<Shared>,
+        jobs: Sender<Job>,
+        ended: UnboundedReceiver<(Copied, End)>,
+        thread: JoinHandle<()>,
+    ) -> Self {
+        Self {
+            settings,
+            gate: RefCell::new(gate),
+            shared,
+            jobs: RefCell::new(Some(jobs)),
+            ended: RefCell::new(ended),
+            thread: Cell::new(Some(thread)),
+        }
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.settings.name
+    }
+
+    /// Copies nothing more. What is out ends within its time, and the record is written once more;
+    /// the thread ends then. `None` if it was stopped before.
+    pub fn stop(&self) -> Option<JoinHandle<()>> {
+        self.jobs.borrow_mut().take();
+        self.thread.take()
+    }
+
+    /// Takes a request of the live pool, watched.
+    pub fn call(
+        self: &Rc<Self>,
+        pool: &Rc<Exchange>,
+        asked: Asked,
+        message: Message,
+    ) -> Result<Work<Reply>, Turned> {
+        if self.jobs.borrow().is_none() {
+            return pool.clone().call(asked, message);
+        }
+        let now = self.settings.clock.now();
+        self.reap(now);
+        if message.effect != Effect::Safe {
+            return self.change(pool, asked, message);
+        }
+        let mut id = FxHasher::default();
+        id.write(&message.id);
+        let sampled = {
+            let gate = self.gate.borrow();
+            gate.samples(asked.class, message.effect, asked.key, id.finish())
+        };
+        let kept = sampled.then(|| Kept::of(&asked, &message, now));
+        let work = pool.clone().call(asked, message)?;
+        let (mirror, pool) = (self.clone(), pool.clone());
+        Ok(Box::pin(async move {
+            let reply = work.await;
+            match (&reply, kept) {
+                (Reply::Served(answer), Some(kept)) => {
+                    let answer = answer.clone();
+                    let took = mirror.settings.clock.now().since(kept.taken);
+                    // In a turn of its own: the answer goes out first.
+                    spawn_local(async move { mirror.offer(&pool, kept, answer, took) });
+                }
+                (Reply::Served(_), None) => {}
+                (Reply::Refused(_) | Reply::Failed, _) => {
+                    mirror.gate.borrow_mut().pressed(mirror.settings.clock.now());
+                }
+            }
+            reply
+        }))
+    }
+
+    /// A request that is not safe: never copied, but what it changes is marked while it may.
+    fn change(
+        self: &Rc<Self>,
+        pool: &Rc<Exchange>,
+        asked: Asked,
+        message: Message,
+    ) -> Result<Work<Reply>, Turned> {
+        let mut change = Change::begin(self, asked.key);
+        let work = match pool.clone().call(asked, message) {
+            Ok(work) => work,
+            Err(turned) => {
+                change.known = true;
+                return Err(turned);
+            }
+        };
+        Ok(Box::pin(async move {
+            let reply = work.await;
+            change.known = reply != Reply::Failed;
+            if !matches!(reply, Reply::Served(_)) {
+                let mirror = &change.mirror;
+                mirror.gate.borrow_mut().pressed(mirror.settings.clock.now());
+            }
+            reply
+        }))
+    }
+
+    /// Takes back what ended copies held.
+    fn reap(&self, now: Time) {
+        let mut ended = self.ended.borrow_mut();
+        while let Ok((copied, end)) = ended.try_recv() {
+            self.gate.borrow_mut().ended(now, copied, end);
+        }
+    }
+
+    fn offer(&self, pool: &Exchange, kept: Kept, answer: Answer, took: Span) {
+        let jobs = self.jobs.borrow();
+        let Some(jobs) = jobs.as_ref() else { return };
+        let now = self.settings.clock.now();
+        self.reap(now);
+        let fields = |fields: &Fields| -> usize {
+            fields.iter().map(|(name, value)| name.len() + value.len()).sum()
+        };
+        let bytes = kept.target.len()
+            + fields(&kept.fields)
+            + kept.body.len()
+            + fields(&answer.fields)
+            + answer.body.len();
+        let Ok(copied) = self.gate.borrow_mut().served(now, bytes, || pool.open()) else { return };
+        // Copied in full: a part of a buffer would keep all of it, and what is held is bounded.
+        let owned = |bytes: &Bytes| Bytes::copy_from_slice(bytes);
+        let answer = Answer { body: owned(&answer.body), ..answer };
+        let job = Job {
+            copied,
+            class: kept.class,
+            tenant: kept.tenant,
+            key: kept.key,
+            id: owned(&kept.id),
+            verb: owned(&kept.verb),
+            target: owned(&kept.target),
+            fields: kept.fields,
+            body: owned(&kept.body),
+            answer,
+            taken: kept.taken,
+            took,
+        };
+        // There is room for as many as may be out.
+        if let Err(TrySendError::Closed(job) | TrySendError::Full(job)) = jobs.try_send(job) {
+            self.gate.borrow_mut().lost(job.copied);
+            let name = &self.settings.name;
+            eprintln!("sableloom: shadow {name}: its thread has ended; nothing more is copied");
+        }
+    }
+}
+
+/// What is kept of a request of the sample until it is answered; it shares the live one's buffers.
+struct Kept {
+    class: usize,
+    tenant: usize,
+    key: Option<u64>,
+    id: Bytes,
+    verb: Bytes,
+    target: Bytes,
+    fields: Fields,
+    body: Bytes,
+    taken: Time,
+}
+
+impl Kept {
+    fn of(asked: &Asked, message: &Message, taken: Time) -> Self {
+        Self {
+            class: asked.class,
+            tenant: asked.tenant,
+            key: asked.key,
+            id: message.id.clone(),
+            verb: message.verb.clone(),
+            target: message.target.clone(),
+            fields: message.fields.clone(),
+            body: message.body.clone(),
+            taken,
+        }
+    }
+}
+
+/// A change that is marked until it is over, however that comes about.
+struct Change {
+    mirror: Rc<Mirror>,
+    key: Option<u64>,
+    /// What came of it is known: nothing of it can run any more.
+    known: bool,
+}
+
+impl Change {
+    fn begin(mirror: &Rc<Mirror>, key: Option<u64>) -> Self {
+        mirror.shared.changes.begin(key);
+        Self { mirror: mirror.clone(), key, known: false }
+    }
+}
+
+impl Drop for Change {
+    fn drop(&mut self) {
+        let settings = &self.mirror.settings;
+        let now = settings.clock.now();
+        let by = if self.known { now } else { now.plus(settings.doubt) };
+        self.mirror.shared.changes.end(self.key, by);
+    }
+}
--- /dev/null
+++ b/crates/mirror/src/side.rs
@@ -0,0 +1,333 @@
+//! The side thread: carries copies to the candidate, compares, and keeps the record. Nothing here is
+//! waited for by the thread that serves.
+
+use std::fs;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::Bytes;
+use sableloom_checked::Problem;
+use sableloom_exchange::{
+    Answer, Asked, Clock, Exchange, Fields, Message, Options as ExchangeOptions, Reply, Service,
+    Source,
+};
+use sableloom_http1::{Budget, Upstreams};
+use sableloom_serverfiles::ServerFiles;
+use sableloom_shadow::{End, Pair, Record, Rules, Side, Skip, Tried, compare};
+use sableloom_types::{Effect, Span};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{JoinSet, LocalSet};
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use crate::{Ends, Group, ID_END, ID_FIELD, Job, MARK, Options, Shared};
+
+/// How nice the thread is to others (setpriority(2)): of a core that all want it gets a tenth.
+const NICE: i32 = 10;
+/// A copy that the decision module has not ended so long past its time is given up.
+const PAST: Duration = Duration::from_secs(1);
+/// How often idle connections are looked over.
+const SWEEP: Duration = Duration::from_millis(250);
+/// Longest id that goes into the record.
+const ID_MOST: usize = 64;
+
+type Told = oneshot::Sender<Result<(), Vec<Problem>>>;
+
+/// The thread.
+pub(crate) fn run(
+    options: Options,
+    shared: Arc<Shared>,
+    jobs: mpsc::Receiver<Job>,
+    ends: Ends,
+    ready: Told,
+    go: oneshot::Receiver<Option<JoinHandle<()>>>,
+) {
+    let thread = rustix::thread::gettid();
+    if let Err(e) = rustix::process::setpriority_process(Some(thread), NICE) {
+        eprintln!("sableloom: shadow {}: no low priority: {e}", options.name);
+    }
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            let _ = ready.send(Err(vec![Problem::of_file(&options.name, format!("shadow: {e}"))]));
+            return;
+        }
+    };
+    LocalSet::new().block_on(&runtime, async {
+        let candidate = Copies::open(&options, &options.candidate).await;
+        let control = match &options.control {
+            Some(group) => Some(Copies::open(&options, group).await),
+            None => None,
+        };
+        let mut problems = Vec::new();
+        let mut take = |opened: Result<Copies, Vec<Problem>>| match opened {
+            Ok(copies) => Some(copies),
+            Err(wrong) => {
+                problems.extend(wrong);
+                None
+            }
+        };
+        let (candidate, control) = (take(candidate), control.map(&mut take));
+        let (Some(candidate), true) = (candidate, problems.is_empty()) else {
+            let _ = ready.send(Err(problems));
+            return;
+        };
+        let at = Rc::new(Carrier {
+            candidate,
+            control: control.flatten(),
+            clock: options.clock,
+            time: options.time,
+            mark: Bytes::copy_from_slice(options.name.as_bytes()),
+            drop: options.drop.clone(),
+            rules: options.rules.clone(),
+            shared,
+        });
+        // One that is not begun: what it would have taken the place of goes on.
+        if ready.send(Ok(())).is_err() {
+            return;
+        }
+        let Ok(before) = go.await else { return };
+        if let Some(before) = before {
+            // It ends within the time of a copy. Nothing is missed here meanwhile but copies.
+            let _ = before.join();
+        }
+        at.serve(&options, jobs, ends).await;
+    });
+    // The descriptors are free again.
+    drop(options);
+}
+
+/// What carries copies to one pool.
+struct Copies {
+    exchange: Rc<Exchange>,
+    transport: Rc<Upstreams>,
+    files: Rc<ServerFiles>,
+}
+
+impl Copies {
+    async fn open(options: &Options, group: &Group) -> Result<Self, Vec<Problem>> {
+        let mut facts = group.facts.clone();
+        // A second attempt would hide that the first failed.
+        facts.policy_limits.max_attempts = 1;
+        let facts = Rc::new(facts);
+        let files = ServerFiles::open(group.files.clone(), options.clock).await?;
+        let transport = Upstreams::new(Budget::new(options.bounds.in_flight), &facts);
+        let source: Rc<dyn Source> = files.clone();
+        let exchange = Exchange::start(ExchangeOptions {
+            facts,
+            seed: u64::from(std::process::id()),
+            clock: options.clock,
+            transport: transport.clone(),
+            source,
+        })
+        .map_err(|e| vec![Problem::of_file(&group.name, format!("pool: {e}"))])?;
+        files.watch();
+        Ok(Self { exchange, transport, files })
+    }
+
+    fn close(&self) {
+        self.files.stop();
+        self.exchange.close();
+    }
+}
+
+struct Carrier {
+    candidate: Copies,
+    control: Option<Copies>,
+    clock: Clock,
+    time: Duration,
+    mark: Bytes,
+    drop: Vec<String>,
+    rules: Rules,
+    shared: Arc<Shared>,
+}
+
+/// A copy that has ended, with what is to be recorded.
+struct Ended {
+    job: Job,
+    candidate: Tried,
+    control: Option<Tried>,
+    disturbed: bool,
+}
+
+impl Carrier {
+    async fn serve(self: &Rc<Self>, options: &Options, mut jobs: mpsc::Receiver<Job>, ends: Ends) {
+        let mut record = Record::new(&options.name, options.classes.iter().cloned());
+        record.pools = (options.live.clone(), options.candidate.name.clone());
+        record.control = options.control.as_ref().map(|group| group.name.clone());
+        record.from_ms = self.clock.now().0 / 1000;
+        let mut writes = interval(options.record_every);
+        writes.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut sweeps = interval(SWEEP);
+        sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut copies = JoinSet::new();
+        let mut wrong = None;
+        loop {
+            tokio::select! {
+                job = jobs.recv() => match job {
+                    Some(job) => {
+                        let carrier = self.clone();
+                        copies.spawn_local(async move { carrier.carry(job).await });
+                    }
+                    None => break,
+                },
+                Some(ended) = copies.join_next() => {
+                    self.ended(&mut record, options, &ends, ended);
+                }
+                _ = writes.tick() => self.write(&mut record, options, &mut wrong),
+                _ = sweeps.tick() => self.sweep(),
+            }
+        }
+        // Each ends within its time.
+        while let Some(ended) = copies.join_next().await {
+            self.ended(&mut record, options, &ends, ended);
+        }
+        self.write(&mut record, options, &mut wrong);
+        self.candidate.close();
+        self.control.iter().for_each(Copies::close);
+    }
+
+    fn sweep(&self) {
+        self.candidate.transport.sweep();
+        self.control.iter().for_each(|control| control.transport.sweep());
+    }
+
+    fn ended(
+        &self,
+        record: &mut Record,
+        options: &Options,
+        ends: &Ends,
+        ended: Result<Ended, tokio::task::JoinError>,
+    ) {
+        let ended = match ended {
+            Ok(ended) => ended,
+            // What it held stays counted as held: a bound may tighten by it, and never loosen.
+            Err(e) => {
+                eprintln!("sableloom: shadow {}: a copy's handling panicked: {e}", options.name);
+                return;
+            }
+        };
+        let Ended { job, candidate, control, disturbed } = ended;
+        let end = match &candidate {
+            Tried::Served(..) => End::Served,
+            Tried::Refused => End::Refused,
+            Tried::Failed(_) => End::Failed,
+        };
+        let id = String::from_utf8_lossy(&job.id[..job.id.len().min(ID_MOST)]).into_owned();
+        let (class, live) = (job.class, job.took);
+        let pair = Pair { class, id: &id, live, candidate, control, disturbed };
+        record.add(&pair, options.values);
+        // The live side may have stopped it.
+        let _ = ends.send((job.copied, end));
+    }
+
+    async fn carry(&self, job: Job) -> Ended {
+        let candidate = self.send(&self.candidate, &job);
+        let (candidate, control) = match &self.control {
+            Some(control) => {
+                let (candidate, control) = tokio::join!(candidate, self.send(control, &job));
+                (candidate, Some(control))
+            }
+            None => (candidate.await, None),
+        };
+        let disturbed = self.shared.changes.touched(job.key, job.taken);
+        // What is not compared costs nothing.
+        let tried = |(reply, took): (Reply, Span)| match reply {
+            Reply::Served(_) if disturbed => Tried::Served(took, Vec::new()),
+            Reply::Served(answer) => {
+                Tried::Served(took, differences(&self.rules, &job.answer, &answer))
+            }
+            Reply::Refused(_) => Tried::Refused,
+            Reply::Failed => Tried::Failed(took),
+        };
+        let (candidate, control) = (tried(candidate), control.map(tried));
+        Ended { job, candidate, control, disturbed }
+    }
+
+    /// Sends a copy, and how long it took.
+    async fn send(&self, to: &Copies, job: &Job) -> (Reply, Span) {
+        let sent = self.clock.now();
+        let asked = Asked {
+            class: job.class,
+            tenant: job.tenant,
+            key: job.key,
+            drop_dead: sent.plus(Span(self.time.as_micros() as i64)),
+        };
+        // One whose id is that of a copy that is out still, or past the bound of what is open, is
+        // not sent; nothing is known of the candidate by that.
+        let reply = match to.exchange.clone().call(asked, self.message(job)) {
+            Ok(work) => timeout(self.time + PAST, work).await.unwrap_or(Reply::Failed),
+            Err(_) => Reply::Refused(None),
+        };
+        (reply, self.clock.now().since(sent))
+    }
+
+    /// The copy: marked, under an id of its own, without what is not to be copied.
+    fn message(&self, job: &Job) -> Message {
+        let id = Bytes::from([&job.id[..], ID_END].concat());
+        let held: Vec<(&[u8], Bytes)> = job.fields.iter().collect();
+        let fields = Fields::collect(|| {
+            let kept = held.iter().filter(|(name, _)| {
+                *name != MARK.as_bytes() && !self.drop.iter().any(|drop| drop.as_bytes() == *name)
+            });
+            kept.map(|(name, value)| match *name == ID_FIELD.as_bytes() {
+                true => (*name, &id[..]),
+                false => (*name, &value[..]),
+            })
+            .chain([(MARK.as_bytes(), &self.mark[..])])
+        });
+        Message {
+            id: id.clone(),
+            // The gate lets nothing else through, and this is the only place that sends.
+            effect: Effect::Safe,
+            verb: job.verb.clone(),
+            target: job.target.clone(),
+            fields,
+            body: job.body.clone(),
+            hold: None,
+        }
+    }
+
+    fn write(&self, record: &mut Record, options: &Options, wrong: &mut Option<String>) {
+        let counts = &self.shared.counts;
+        record.until_ms = self.clock.now().0 / 1000;
+        record.seen = counts.seen.load(Ordering::Relaxed);
+        record.sampled = counts.sampled.load(Ordering::Relaxed);
+        record.copied = counts.copied.load(Ordering::Relaxed);
+        record.rests = counts.rests.load(Ordering::Relaxed);
+        record.skipped =
+            Skip::ALL.iter().map(|why| (why.name().to_string(), counts.skipped(*why))).collect();
+        let failed = replace(&options.record, record).err();
+        if failed != *wrong {
+            let (name, path) = (&options.name, options.record.display());
+            match &failed {
+                Some(e) => eprintln!("sableloom: shadow {name}: {path} is not written: {e}"),
+                None => eprintln!("sableloom: shadow {name}: {path} is written again"),
+            }
+            *wrong = failed;
+        }
+    }
+}
+
+/// Replaces the file as a whole: whoever reads it finds the old record or the new one.
+fn replace(path: &Path, record: &Record) -> Result<(), String> {
+    let text = serde_json::to_vec_pretty(record).map_err(|e| e.to_string())?;
+    let mut name = path.file_name().ok_or("it has no name")?.to_os_string();
+    name.push(".new");
+    let new = path.with_file_name(name);
+    fs::write(&new, text).map_err(|e| e.to_string())?;
+    fs::rename(&new, path).map_err(|e| e.to_string())
+}
+
+fn differences(rules: &Rules, live: &Answer, other: &Answer) -> Vec<sableloom_shadow::Difference> {
+    let values = |answer: &Answer| -> Vec<Option<Bytes>> {
+        rules.fields.iter().map(|name| answer.fields.get(name)).collect()
+    };
+    let (a, b) = (values(live), values(other));
+    let sides = [&a, &b].map(|side| side.iter().map(|v| v.as_deref()).collect::<Vec<_>>());
+    let side = |fields: usize, answer| Side { fields: &sides[fields], body: answer };
+    compare(rules, side(0, &live.body), side(1, &other.body))
+}
--- a/crates/sableloom/src/check.rs
+++ b/crates/sableloom/src/check.rs
@@ -44,7 +44,7 @@
 pub fn check(options: &CheckOptions) -> Result<(), String> {
     let (site, _) = load(&options.file).map_err(|wrong| shown(&options.file, &wrong))?;
     let (mut problems, mut servers) = (Vec::new(), 0);
-    for pool in &site.pools {
+    for pool in site.every_pool() {
         match lists(&options.file, &site, pool) {
             Ok(lists) => servers += lists.held(),
             Err(wrong) => problems.extend(wrong),
@@ -54,12 +54,14 @@
         return Err(shown(&options.file, &problems));
     }
     println!(
-        "{}: good; {} listeners, {} classes, {} pools with {servers} servers, {} routes; hash {}",
+        "{}: good; {} listeners, {} classes, {} pools with {servers} servers, {} routes, {} shadows; \
+         hash {}",
         options.file.display(),
         site.listeners.len(),
         site.classes.len(),
-        site.pools.len(),
+        site.every_pool().count(),
         site.routes.len(),
+        site.shadows.len(),
         site.hash
     );
     Ok(())
--- a/crates/sableloom/src/main.rs
+++ b/crates/sableloom/src/main.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod platform;
 mod serve;
+mod shadow;
 
 use std::process::ExitCode;
 
@@ -34,6 +35,8 @@
     Check(check::CheckOptions),
     /// Tells which route, pool and servers a request would meet, and why
     Route(check::RouteOptions),
+    /// Tells what came of the copies that shadows sent to a candidate
+    Shadow(shadow::Options),
 }
 
 fn main() -> ExitCode {
@@ -50,14 +53,16 @@
             Some(Command::Serve(options)) => serve::run(options).await,
             Some(Command::Check(options)) => check::check(&options),
             Some(Command::Route(options)) => check::route(&options),
+            Some(Command::Shadow(options)) => return shadow::run(options),
         }
+        .map(|()| ExitCode::SUCCESS)
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let done = runtime
         .map_err(|e| format!("runtime: {e}"))
         .and_then(|runtime| LocalSet::new().block_on(&runtime, work));
     match done {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(message) => {
             eprintln!("sableloom: {message}");
             ExitCode::FAILURE
--- a/crates/sableloom/src/serve.rs
+++ b/crates/sableloom/src/serve.rs
@@ -3,20 +3,23 @@
 use std::cell::RefCell;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use sableloom_checked::Problem;
 use sableloom_exchange::{Asked, Clock, Exchange, Message, Reply, Service, Turned, Work};
 use sableloom_exchange::{Options as ExchangeOptions, Source};
 use sableloom_http1::{Budget, Dialect, Frontend, Upstreams};
+use sableloom_mirror::{Group, Mirror, Options as MirrorOptions, Ready};
 use sableloom_routes::{Head, Table};
 use sableloom_serverfiles::{Files, Prepared, ServerFiles, bytes_of};
 use sableloom_serverlist::Spec;
-use sableloom_site::{Pool, Site, Target};
-use sableloom_types::settings::span;
+use sableloom_shadow::Bounds;
+use sableloom_site::{Pool, Shadow, Site, Target};
+use sableloom_types::settings::{span, stable_hash};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::config::{SOCKETS_OTHER, split};
 use crate::platform::{Door, SWEEP, listen};
@@ -24,6 +27,9 @@
 /// Descriptors that each pool may use to watch and read its files.
 const SOCKETS_POOL: usize = 4;
 
+/// How long the end waits for the records of shadows.
+const SHADOW_LAST: Duration = Duration::from_millis(500);
+
 /// What to run.
 #[derive(clap::Args)]
 pub struct Options {
@@ -67,6 +73,18 @@
     files: Rc<ServerFiles>,
     exchange: Rc<Exchange>,
     transport: Rc<Upstreams>,
+    /// What copies its requests, if anything does.
+    mirror: RefCell<Option<Rc<Mirror>>>,
+}
+
+impl Running {
+    fn call(&self, asked: Asked, message: Message) -> Result<Work<Reply>, Turned> {
+        let mirror = self.mirror.borrow().clone();
+        match mirror {
+            Some(mirror) => mirror.call(&self.exchange, asked, message),
+            None => self.exchange.clone().call(asked, message),
+        }
+    }
 }
 
 /// The configuration in force.
@@ -91,7 +109,7 @@
     fn call(self: Rc<Self>, asked: Asked, message: Message) -> Result<Work<Reply>, Turned> {
         let routing = self.routing.borrow().clone();
         match routing.target(&asked, &message) {
-            Target::Pool(pool) => routing.pools[pool].exchange.clone().call(asked, message),
+            Target::Pool(pool) => routing.pools[pool].call(asked, message),
             Target::Refuse(status) => Err(Turned::NoRoute(status)),
         }
     }
@@ -163,7 +181,52 @@
         })
         .map_err(|e| format!("pool {}: {e}", pool.name))?;
         files.watch();
-        Ok(Running { name: pool.name.clone(), files, exchange, transport })
+        let name = pool.name.clone();
+        Ok(Running { name, files, exchange, transport, mirror: RefCell::default() })
+    }
+
+    /// Makes a shadow ready, or says what is wrong.
+    async fn shadow(&self, site: &Site, shadow: &Shadow) -> Result<Ready, Vec<Problem>> {
+        let descriptors = MirrorOptions::sockets(shadow.bounds.in_flight, shadow.pools().count());
+        let Some(sockets) = self.budget.lend(descriptors) else {
+            let name = self.path.display().to_string();
+            return Err(vec![Problem {
+                span: shadow.place.span.clone(),
+                line: shadow.place.line,
+                field: format!("{}.in_flight", shadow.place.field),
+                help: Some("raise `limits.sockets`, or have fewer copies out at once".into()),
+                ..Problem::of_file(&name, format!("{descriptors} descriptors are not free for it"))
+            }]);
+        };
+        let group = |pool: &Pool| Group {
+            name: pool.name.clone(),
+            facts: site.facts(pool),
+            files: files(&self.path, site, pool),
+        };
+        let folder = self.path.parent().unwrap_or(Path::new(""));
+        Ready::new(MirrorOptions {
+            name: shadow.name.clone(),
+            live: site.pools[shadow.of].name.clone(),
+            candidate: group(&shadow.to),
+            control: shadow.control.as_ref().map(group),
+            bounds: Bounds {
+                seed: stable_hash(&shadow.name),
+                own: u64::from(std::process::id()),
+                ..shadow.bounds.clone()
+            },
+            rules: shadow.rules.clone(),
+            classes: site.classes.iter().map(|c| (c.name.clone(), c.aim_ms)).collect(),
+            time: Duration::from_secs_f64(shadow.time_ms / 1e3),
+            settle: span(shadow.settle_ms),
+            doubt: span(site.longest_ms()),
+            drop: shadow.drop.clone(),
+            values: shadow.values,
+            record: folder.join(&shadow.record),
+            record_every: Duration::from_secs_f64(shadow.record_ms / 1e3),
+            clock: self.clock,
+            sockets,
+        })
+        .await
     }
 
     /// Takes a new configuration over, whole or not at all.
@@ -196,6 +259,23 @@
                 Err(wrong) => problems.extend(wrong),
             }
         }
+        // Shadows that are as they were go on; all others begin anew.
+        let mut shadows = Vec::new();
+        for shadow in &site.shadows {
+            let live = &site.pools[shadow.of].name;
+            let same = old.site.shadows.iter().any(|before| {
+                old.site.pools[before.of].name == *live
+                    && Shadow { of: shadow.of, ..before.clone() } == *shadow
+            });
+            if same {
+                shadows.push(None);
+                continue;
+            }
+            match self.shadow(&site, shadow).await {
+                Ok(ready) => shadows.push(Some(ready)),
+                Err(wrong) => problems.extend(wrong),
+            }
+        }
         if !problems.is_empty() {
             return Err(problems);
         }
@@ -218,13 +298,31 @@
         let gone: Vec<_> =
             old.pools.iter().filter(|p| !pools.iter().any(|q| Rc::ptr_eq(p, q))).cloned().collect();
         gone.iter().for_each(|pool| pool.files.stop());
+        // Those that go, and those that have another in their place.
+        let mut ended: Vec<(String, Option<JoinHandle<()>>)> = Vec::new();
+        for (at, pool) in old.pools.iter().enumerate() {
+            let stays =
+                site.shadows.iter().zip(&shadows).any(|(shadow, ready)| {
+                    ready.is_none() && site.pools[shadow.of].name == pool.name
+                });
+            if let Some(mirror) = pool.mirror.borrow_mut().take_if(|_| !stays) {
+                ended.push((old.pools[at].name.clone(), mirror.stop()));
+            }
+        }
+        for (shadow, ready) in site.shadows.iter().zip(shadows) {
+            let Some(ready) = ready else { continue };
+            let before = ended.iter_mut().find(|(pool, _)| *pool == site.pools[shadow.of].name);
+            let mirror = ready.go(before.and_then(|(_, thread)| thread.take()));
+            *pools[shadow.of].mirror.borrow_mut() = Some(Rc::new(mirror));
+        }
         let what = format!(
-            "configuration {} ({}) in force: {} routes, {} pools{}",
+            "configuration {} ({}) in force: {} routes, {} pools{}{}",
             old.number + 1,
             site.hash,
             site.routes.len(),
             pools.len(),
             named(", without ", gone.iter().map(|p| p.name.as_str())),
+            named(", shadows ", site.shadows.iter().map(|s| s.name.as_str())),
         );
         router.ending.borrow_mut().extend(gone);
         *router.routing.borrow_mut() =
@@ -280,6 +378,11 @@
         site.pools.iter().zip(opened).map(|(pool, files)| shared.start(&site, pool, files));
     let pools = started.map(|pool| pool.map(Rc::new)).collect::<Result<Vec<_>, String>>()?;
 
+    for shadow in &site.shadows {
+        let ready = shared.shadow(&site, shadow).await.map_err(|wrong| told(&wrong))?;
+        *pools[shadow.of].mirror.borrow_mut() = Some(Rc::new(ready.go(None)));
+    }
+
     let facts = Rc::new(site.facts(&site.pools[0]));
     let method = |m: &String| m.parse().map_err(|_| format!("no method {m:?}"));
     let methods = site
@@ -317,6 +420,13 @@
     });
     term.recv().await;
     eprintln!("sableloom: SIGTERM; {} open", router.open());
+    // Copies end while what was taken is finished, and the records are written once more.
+    let shadows: Vec<_> = router.pools().iter().filter_map(|p| p.mirror.take()?.stop()).collect();
     door.finish(|| router.open()).await;
+    // A candidate that hangs holds up no end.
+    let last = Instant::now() + SHADOW_LAST;
+    while shadows.iter().any(|thread| !thread.is_finished()) && Instant::now() < last {
+        sleep(Duration::from_millis(5)).await;
+    }
     Ok(())
 }
--- /dev/null
+++ b/crates/shadow/src/json.rs
@@ -0,0 +1,125 @@
+//! JSON as answers carry it (RFC 8259), kept with what a plain reading loses: names that come twice.
+
+use std::fmt;
+
+use serde::de::{Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
+
+/// A value. Numbers are as RFC 8259, section 6, lets both sides expect: whole ones of 64 bits, all
+/// others with the precision of a double.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Json {
+    Null,
+    Bool(bool),
+    Whole(i128),
+    Number(f64),
+    Text(String),
+    List(Vec<Json>),
+    /// By name, sorted; a name that comes twice is here twice.
+    Map(Vec<(String, Json)>),
+}
+
+impl Json {
+    /// Reads a text; `None` if it is no JSON. serde_json stops at a depth of 128.
+    pub fn read(text: &[u8]) -> Option<Self> {
+        serde_json::from_slice(text).ok()
+    }
+
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Json::Null => "null",
+            Json::Bool(_) => "true or false",
+            Json::Whole(_) | Json::Number(_) => "a number",
+            Json::Text(_) => "a text",
+            Json::List(_) => "a list",
+            Json::Map(_) => "an object",
+        }
+    }
+
+    /// Whether two values that hold no others are the same; 1 and 1.0 are.
+    pub fn same(&self, other: &Json) -> bool {
+        match (self, other) {
+            (Json::Whole(a), Json::Number(b)) | (Json::Number(b), Json::Whole(a)) => {
+                *a as f64 == *b
+            }
+            _ => self == other,
+        }
+    }
+
+    /// What orders the members of a list whose order says nothing.
+    pub fn order(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl fmt::Display for Json {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Json::Null => f.write_str("null"),
+            Json::Bool(b) => write!(f, "{b}"),
+            Json::Whole(n) => write!(f, "{n}"),
+            Json::Number(n) => write!(f, "{n}"),
+            Json::Text(text) => write!(f, "{text:?}"),
+            Json::List(list) => {
+                f.write_str("[")?;
+                for (i, value) in list.iter().enumerate() {
+                    write!(f, "{}{value}", if i > 0 { "," } else { "" })?;
+                }
+                f.write_str("]")
+            }
+            Json::Map(members) => {
+                f.write_str("{")?;
+                for (i, (name, value)) in members.iter().enumerate() {
+                    write!(f, "{}{name:?}:{value}", if i > 0 { "," } else { "" })?;
+                }
+                f.write_str("}")
+            }
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Json {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        struct Reads;
+        impl<'de> Visitor<'de> for Reads {
+            type Value = Json;
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("JSON")
+            }
+            fn visit_unit<E>(self) -> Result<Json, E> {
+                Ok(Json::Null)
+            }
+            fn visit_bool<E>(self, b: bool) -> Result<Json, E> {
+                Ok(Json::Bool(b))
+            }
+            fn visit_i64<E>(self, n: i64) -> Result<Json, E> {
+                Ok(Json::Whole(n.into()))
+            }
+            fn visit_u64<E>(self, n: u64) -> Result<Json, E> {
+                Ok(Json::Whole(n.into()))
+            }
+            fn visit_f64<E>(self, n: f64) -> Result<Json, E> {
+                Ok(Json::Number(n))
+            }
+            fn visit_str<E>(self, text: &str) -> Result<Json, E> {
+                Ok(Json::Text(text.to_string()))
+            }
+            fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Json, A::Error> {
+                let mut list = Vec::new();
+                while let Some(value) = seq.next_element()? {
+                    list.push(value);
+                }
+                Ok(Json::List(list))
+            }
+            fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Json, A::Error> {
+                let mut members: Vec<(String, Json)> = Vec::new();
+                while let Some(member) = map.next_entry()? {
+                    members.push(member);
+                }
+                // Stable: what came twice keeps its order.
+                members.sort_by(|a, b| a.0.cmp(&b.0));
+                Ok(Json::Map(members))
+            }
+        }
+        deserializer.deserialize_any(Reads)
+    }
+}
--- /dev/null
+++ b/crates/shadow/src/lib.rs
@@ -0,0 +1,29 @@
+//! Shadow traffic without its sockets: which answered requests are copied to a candidate
+//! ([`Gate`]), which pairs of answers can't be compared since something was changed in between
+//! ([`Changes`]), what two answers differ in ([`compare`]), and what all of it amounts to
+//! ([`Record`], [`judge`]).
+//!
+//! No I/O and no clock: events and times in, verdicts out.
+
+mod changes;
+mod compare;
+mod gate;
+mod json;
+mod judge;
+mod record;
+
+pub use changes::Changes;
+pub use compare::{
+    Difference, Kind, MOST_DIFFERENCES, Pattern, PatternError, Rules, Side, compare,
+};
+pub use gate::{Bounds, By, Copied, Counts, End, Gate, Skip};
+pub use judge::{Finding, Judgement, Limits, What, judge, mcnemar, wilson};
+pub use record::{At, Class, Example, Pair, Record, Spread, Tried};
+
+/// Spreads the bits of a hash over all 64 (the finalizer of SplitMix64): keys may be short numbers
+/// that stand for themselves.
+pub(crate) fn mix(hash: u64) -> u64 {
+    let h = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let h = (h ^ (h >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    h ^ (h >> 31)
+}
--- /dev/null
+++ b/crates/shadow/src/record.rs
@@ -0,0 +1,395 @@
+//! What has come of the pairs so far: in bounded memory, to be written, read again, and added up over
+//! balancers.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use sableloom_types::Span;
+use serde::{Deserialize, Serialize};
+
+use crate::compare::{Difference, Kind};
+
+/// The form of a written record.
+pub const FORMAT: u32 = 1;
+/// Most places of differences that are told apart; answers may have names without end.
+const MOST_PLACES: usize = 256;
+/// Examples of each that are kept.
+const EXAMPLES: usize = 3;
+/// Longest time that is told apart, in microseconds: an hour.
+const LONGEST: u64 = 3_600_000_000;
+
+/// Times, with two significant digits.
+#[derive(Clone, Debug)]
+pub struct Spread(Histogram<u64>);
+
+impl Default for Spread {
+    fn default() -> Self {
+        // The bounds are good ones, and the other has none that could be wrong.
+        let times = Histogram::new_with_bounds(1, LONGEST, 2);
+        Self(times.or_else(|_| Histogram::new(1)).unwrap_or_else(|_| unreachable!("3 digits")))
+    }
+}
+
+impl Spread {
+    /// Adds a time.
+    pub fn add(&mut self, time: Span) {
+        self.add_many(time.0.max(1) as u64, 1);
+    }
+
+    fn add_many(&mut self, us: u64, times: u64) {
+        self.0.saturating_record_n(us.min(LONGEST), times);
+    }
+
+    /// The time that this share of them does not exceed, in milliseconds; 0 if there is none.
+    pub fn quantile_ms(&self, share: f64) -> f64 {
+        self.0.value_at_quantile(share) as f64 / 1e3
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> u64 {
+        self.0.len()
+    }
+
+    fn merge(&mut self, other: &Spread) {
+        other.cells().for_each(|(us, times)| self.add_many(us, times));
+    }
+
+    fn cells(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
+        self.0.iter_recorded().map(|cell| (cell.value_iterated_to(), cell.count_at_value()))
+    }
+}
+
+impl Serialize for Spread {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(self.cells())
+    }
+}
+
+impl<'de> Deserialize<'de> for Spread {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let mut spread = Self::default();
+        let cells: Vec<(u64, u64)> = Deserialize::deserialize(deserializer)?;
+        cells.into_iter().for_each(|(us, times)| spread.add_many(us.max(1), times));
+        Ok(spread)
+    }
+}
+
+/// What a copy came to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Tried {
+    /// Served after this time, with these differences from the live answer.
+    Served(Span, Vec<Difference>),
+    /// Not sent: no room, by our own judgement.
+    Refused,
+    /// Failed after this time.
+    Failed(Span),
+}
+
+/// A live answer and what its copies came to.
+#[derive(Clone, Debug)]
+pub struct Pair<'a> {
+    /// The class, by index.
+    pub class: usize,
+    /// The request's id.
+    pub id: &'a str,
+    /// How long the live answer took.
+    pub live: Span,
+    /// What the candidate made of it.
+    pub candidate: Tried,
+    /// What the control group made of it, where there is one.
+    pub control: Option<Tried>,
+    /// Something was changed meanwhile that the answers may tell.
+    pub disturbed: bool,
+}
+
+/// How often a place differed, in pairs whose answers could be compared.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct At {
+    /// At the candidate.
+    pub candidate: u64,
+    /// At the control group.
+    pub control: u64,
+    /// In pairs that the control group served as well: at the candidate only.
+    pub candidate_only: u64,
+    /// And at the control group only.
+    pub control_only: u64,
+    /// Some of them.
+    pub examples: Vec<Example>,
+}
+
+/// A difference that was met.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Example {
+    /// The request's id.
+    pub id: String,
+    /// The live side, where values are kept.
+    pub live: String,
+    /// The candidate's.
+    pub candidate: String,
+}
+
+/// What came of one class.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// An answer within this time is in time, in milliseconds.
+    pub aim_ms: f64,
+    /// Copies that have ended.
+    pub ended: u64,
+    /// Of those: not sent, for want of room at the candidate.
+    pub refused: u64,
+    /// Failed at the candidate.
+    pub failed: u64,
+    /// Served, and not compared, as something changed meanwhile.
+    pub disturbed: u64,
+    /// Served and without a difference.
+    pub same: u64,
+    /// Served and with one.
+    pub different: u64,
+    /// In time live, late or failed at the candidate.
+    pub late_candidate: u64,
+    /// Late live, in time at the candidate.
+    pub late_live: u64,
+    /// Copies that the control group took; of those, failed there.
+    pub control: (u64, u64),
+    /// Compared pairs that the control group served as well.
+    pub with_control: u64,
+    /// In pairs that both took: failed at the candidate only, at the control group only.
+    pub failed_only: (u64, u64),
+    /// Live times of the pairs that the candidate served.
+    pub live: Spread,
+    /// The candidate's times.
+    pub candidate: Spread,
+    /// The control group's.
+    pub control_times: Spread,
+    /// Where answers differed, and how: `/points value`.
+    pub places: BTreeMap<String, At>,
+    /// Differences in yet other places.
+    pub elsewhere: u64,
+}
+
+/// All that has come of a shadow.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Record {
+    /// The form it is written in.
+    pub format: u32,
+    /// The shadow's name.
+    pub shadow: String,
+    /// The pools, by name: live, candidate.
+    pub pools: (String, String),
+    /// The control group's, if there is one.
+    pub control: Option<String>,
+    /// When it began, and when it was written, in Unix milliseconds.
+    pub from_ms: i64,
+    /// See `from_ms`.
+    pub until_ms: i64,
+    /// Safe requests of its classes, those of the sample that were served, copies, rests.
+    pub seen: u64,
+    /// See `seen`.
+    pub sampled: u64,
+    /// See `seen`.
+    pub copied: u64,
+    /// See `seen`.
+    pub rests: u64,
+    /// Not copied, by reason.
+    pub skipped: BTreeMap<String, u64>,
+    /// By class.
+    pub classes: Vec<Class>,
+}
+
+impl Record {
+    /// A record of nothing yet. Classes have a name and an aim in milliseconds.
+    pub fn new(shadow: &str, classes: impl IntoIterator<Item = (String, f64)>) -> Self {
+        let class = |(name, aim_ms)| Class { name, aim_ms, ..Class::default() };
+        Self {
+            format: FORMAT,
+            shadow: shadow.to_string(),
+            classes: classes.into_iter().map(class).collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Adds what came of a pair. Values of differences are kept if `values` says so; they may be
+    /// somebody's own.
+    pub fn add(&mut self, pair: &Pair<'_>, values: bool) {
+        let Some(class) = self.classes.get_mut(pair.class) else { return };
+        class.ended += 1;
+        let in_time = |time: Span| time.f() / 1e3 <= class.aim_ms;
+        let (live, candidate) = match &pair.candidate {
+            Tried::Refused => {
+                class.refused += 1;
+                return;
+            }
+            Tried::Served(time, _) => (in_time(pair.live), in_time(*time)),
+            Tried::Failed(_) => (in_time(pair.live), false),
+        };
+        class.late_candidate += u64::from(live && !candidate);
+        class.late_live += u64::from(!live && candidate);
+        let failed = matches!(pair.candidate, Tried::Failed(_));
+        class.failed += u64::from(failed);
+        match &pair.control {
+            None | Some(Tried::Refused) => {}
+            Some(control) => {
+                let there = matches!(control, Tried::Failed(_));
+                class.control.0 += 1;
+                class.control.1 += u64::from(there);
+                class.failed_only.0 += u64::from(failed && !there);
+                class.failed_only.1 += u64::from(there && !failed);
+                if let Tried::Served(time, _) = control {
+                    class.control_times.add(*time);
+                }
+            }
+        }
+        let Tried::Served(time, differences) = &pair.candidate else { return };
+        class.live.add(pair.live);
+        class.candidate.add(*time);
+        if pair.disturbed {
+            class.disturbed += 1;
+            return;
+        }
+        match differences.is_empty() {
+            true => class.same += 1,
+            false => class.different += 1,
+        }
+        let control = match &pair.control {
+            Some(Tried::Served(_, differences)) => Some(differences.as_slice()),
+            _ => None,
+        };
+        class.with_control += u64::from(control.is_some());
+        class.differ(pair.id, differences, control, values);
+    }
+
+    /// Whether it is of a form that is known.
+    pub fn known(&self) -> Result<(), String> {
+        match self.format {
+            FORMAT => Ok(()),
+            other => Err(format!("form {other} is not known, {FORMAT} is")),
+        }
+    }
+
+    /// Adds another balancer's record of the same shadow.
+    pub fn merge(&mut self, other: &Record) -> Result<(), String> {
+        let names = |r: &Record| r.classes.iter().map(|c| c.name.clone()).collect::<Vec<_>>();
+        other.known()?;
+        if self.shadow != other.shadow || names(self) != names(other) {
+            return Err(format!(
+                "it is of shadow {:?} with classes {:?}, not of {:?} with {:?}",
+                other.shadow,
+                names(other),
+                self.shadow,
+                names(self)
+            ));
+        }
+        self.from_ms = self.from_ms.min(other.from_ms);
+        self.until_ms = self.until_ms.max(other.until_ms);
+        for (to, from) in [
+            (&mut self.seen, other.seen),
+            (&mut self.sampled, other.sampled),
+            (&mut self.copied, other.copied),
+            (&mut self.rests, other.rests),
+        ] {
+            *to = to.saturating_add(from);
+        }
+        for (why, times) in &other.skipped {
+            let sum = self.skipped.entry(why.clone()).or_default();
+            *sum = sum.saturating_add(*times);
+        }
+        self.classes.iter_mut().zip(&other.classes).for_each(|(class, other)| class.merge(other));
+        Ok(())
+    }
+}
+
+impl Class {
+    /// Pairs that were compared.
+    pub fn compared(&self) -> u64 {
+        self.same.saturating_add(self.different)
+    }
+
+    /// Copies that were sent.
+    pub fn sent(&self) -> u64 {
+        self.ended.saturating_sub(self.refused)
+    }
+
+    fn place(&mut self, name: String) -> Option<&mut At> {
+        if self.places.len() >= MOST_PLACES && !self.places.contains_key(&name) {
+            self.elsewhere += 1;
+            return None;
+        }
+        Some(self.places.entry(name).or_default())
+    }
+
+    /// Each place counts once a pair, however many members of a list differ.
+    fn differ(
+        &mut self,
+        id: &str,
+        candidate: &[Difference],
+        control: Option<&[Difference]>,
+        values: bool,
+    ) {
+        let named = |(at, kind): (&str, Kind)| format!("{at} {}", kind.name());
+        let by_place = |all: &'_ [Difference]| -> BTreeMap<String, Difference> {
+            // The first of each place stays.
+            all.iter().rev().map(|d| (named((&d.at, d.kind)), d.clone())).collect()
+        };
+        let there = by_place(candidate);
+        let here = control.map(by_place);
+        for (name, difference) in &there {
+            let too = here.as_ref().map(|here| here.contains_key(name));
+            let Some(at) = self.place(name.clone()) else { continue };
+            at.candidate += 1;
+            at.candidate_only += u64::from(too == Some(false));
+            if at.examples.len() < EXAMPLES {
+                let text = |text: &str| if values { text.to_string() } else { String::new() };
+                at.examples.push(Example {
+                    id: id.to_string(),
+                    live: text(&difference.live),
+                    candidate: text(&difference.candidate),
+                });
+            }
+        }
+        for name in here.iter().flat_map(|here| here.keys()) {
+            let only = !there.contains_key(name);
+            let Some(at) = self.place(name.clone()) else { continue };
+            at.control += 1;
+            at.control_only += u64::from(only);
+        }
+    }
+
+    fn merge(&mut self, other: &Class) {
+        for (to, from) in [
+            (&mut self.ended, other.ended),
+            (&mut self.refused, other.refused),
+            (&mut self.failed, other.failed),
+            (&mut self.disturbed, other.disturbed),
+            (&mut self.same, other.same),
+            (&mut self.different, other.different),
+            (&mut self.late_candidate, other.late_candidate),
+            (&mut self.late_live, other.late_live),
+            (&mut self.control.0, other.control.0),
+            (&mut self.control.1, other.control.1),
+            (&mut self.with_control, other.with_control),
+            (&mut self.failed_only.0, other.failed_only.0),
+            (&mut self.failed_only.1, other.failed_only.1),
+            (&mut self.elsewhere, other.elsewhere),
+        ] {
+            *to = to.saturating_add(from);
+        }
+        self.live.merge(&other.live);
+        self.candidate.merge(&other.candidate);
+        self.control_times.merge(&other.control_times);
+        for (name, from) in &other.places {
+            let Some(at) = self.place(name.clone()) else { continue };
+            for (to, from) in [
+                (&mut at.candidate, from.candidate),
+                (&mut at.control, from.control),
+                (&mut at.candidate_only, from.candidate_only),
+                (&mut at.control_only, from.control_only),
+            ] {
+                *to = to.saturating_add(from);
+            }
+            let room = EXAMPLES.saturating_sub(at.examples.len());
+            at.examples.extend(from.examples.iter().take(room).cloned());
+        }
+    }
+}
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -3,11 +3,13 @@
 
 mod change;
 mod read;
+mod shadow;
 
 use std::net::SocketAddr;
 use std::ops::Range;
 
 use sableloom_routes::{Rule, Table, TableError};
+use sableloom_shadow::{Bounds, Rules};
 use sableloom_types::settings::{
     Effect, Facts, FamilyInfo, Group, PolicyLimits, Prices, RegistryMode, Reports, Safety, Service,
     Stats,
@@ -166,6 +168,44 @@
     pub place: Place,
 }
 
+/// Copies of a pool's safe requests to a candidate; times in milliseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shadow {
+    /// Its name.
+    pub name: String,
+    /// The live pool, by index.
+    pub of: usize,
+    /// The pool that gets copies. No route leads to it.
+    pub to: Pool,
+    /// One that gets the same copies and runs what the live pool runs.
+    pub control: Option<Pool>,
+    /// What copying may cost; the seed is this process's own.
+    pub bounds: Bounds,
+    /// How answers are compared.
+    pub rules: Rules,
+    /// How long a copy may take.
+    pub time_ms: f64,
+    /// How long a change takes to be seen by every server.
+    pub settle_ms: f64,
+    /// Fields of requests that are not copied.
+    pub drop: Vec<String>,
+    /// Values that differ are written down.
+    pub values: bool,
+    /// Where the record is written, from the site's folder.
+    pub record: String,
+    /// How often.
+    pub record_ms: f64,
+    /// Where it is written.
+    pub place: Place,
+}
+
+impl Shadow {
+    /// The pools that get its copies.
+    pub fn pools(&self) -> impl Iterator<Item = &Pool> {
+        std::iter::once(&self.to).chain(&self.control)
+    }
+}
+
 /// A configuration that makes sense.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Site {
@@ -177,8 +217,10 @@
     pub listeners: Vec<Listener>,
     /// Classes, in their order.
     pub classes: Vec<Class>,
-    /// Pools, in their order.
+    /// Pools, in their order, without those of shadows.
     pub pools: Vec<Pool>,
+    /// Shadows, one a pool at most.
+    pub shadows: Vec<Shadow>,
     /// Routes, in their order.
     pub routes: Vec<Route>,
     /// Where a request goes that no route takes.
@@ -193,6 +235,11 @@
         Table::compile(self.routes.iter().map(|route| route.rule.clone()).collect())
     }
 
+    /// All pools, those of shadows included.
+    pub fn every_pool(&self) -> impl Iterator<Item = &Pool> {
+        self.pools.iter().chain(self.shadows.iter().flat_map(Shadow::pools))
+    }
+
     /// The longest deadline of any class, in milliseconds.
     pub fn longest_ms(&self) -> f64 {
         self.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max)
--- a/crates/site/src/read.rs
+++ b/crates/site/src/read.rs
@@ -9,7 +9,7 @@
     Class, ColdStart, Limits, Listener, Locality, Place, Pool, Protocol, Route, Site, Target,
 };
 
-const HOUR_MS: f64 = 3_600_000.0;
+pub(crate) const HOUR_MS: f64 = 3_600_000.0;
 /// Methods that can be carried (RFC 9110, section 9.3; RFC 5789). CONNECT and TRACE are for the
 /// hop itself; the answer to HEAD has a length without a body, which is not carried.
 const METHODS: [&str; 6] = ["GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
@@ -37,7 +37,7 @@
     std::iter::once(0).chain(breaks).collect()
 }
 
-fn place(table: &Table<'_>, starts: &[usize]) -> Place {
+pub(crate) fn place(table: &Table<'_>, starts: &[usize]) -> Place {
     let here = table.here();
     let line = starts.partition_point(|start| *start <= here.span.start);
     Place { span: here.span, line, field: here.field }
@@ -48,12 +48,14 @@
     let locality = locality(root.table("locality"));
     let listeners = listeners(root, starts);
     let classes = classes(root, starts);
-    let pools = pools(root, starts, &classes);
-    let routes = routes(root, starts, &classes, &pools);
+    let mut pools = pools(root, starts, &classes);
+    // Before the routes: a pool of a shadow is none that they can lead to.
+    let (shadows, side) = crate::shadow::shadows(root, starts, &classes, &mut pools);
+    let routes = routes(root, starts, &classes, &pools, &side);
     let otherwise = match root.table("otherwise") {
         None => Some(Target::Refuse(404)),
         Some(table) => {
-            let target = target(&table, &pools);
+            let target = target(&table, &pools, &side);
             table.finish();
             target
         }
@@ -64,6 +66,7 @@
         listeners,
         classes: classes.into_iter().map(|(_, class)| class).collect(),
         pools: pools.into_iter().map(|(_, pool)| pool).collect(),
+        shadows,
         routes,
         otherwise: otherwise?,
         hash: String::new(),
@@ -140,10 +143,10 @@
     listeners
 }
 
-type Named<T> = Vec<(String, T)>;
+pub(crate) type Named<T> = Vec<(String, T)>;
 
 /// A name that is not yet taken.
-fn new_name<T>(table: &Table<'_>, taken: &Named<T>) -> Option<String> {
+pub(crate) fn new_name<T>(table: &Table<'_>, taken: &Named<T>) -> Option<String> {
     let name = table.need_name("name")?;
     if taken.iter().any(|(other, _)| *other == name.value) {
         table.wrong(&name, format!("{:?} is named twice", name.value), None);
@@ -323,6 +326,7 @@
     starts: &[usize],
     classes: &Named<Class>,
     pools: &Named<Pool>,
+    side: &[String],
 ) -> Vec<Route> {
     let mut routes = Vec::new();
     let mut names: Named<()> = Vec::new();
@@ -340,7 +344,7 @@
                 .filter_map(|class| index(&table, &class, classes, "class"))
                 .collect(),
         };
-        let target = target(&table, pools);
+        let target = target(&table, pools, side);
         table.finish();
         if let (Some(name), Some(target)) = (name, target) {
             routes.push(Route { name, rule, target, place: place(&table, starts) });
@@ -349,7 +353,7 @@
     routes
 }
 
-fn index<T>(
+pub(crate) fn index<T>(
     table: &Table<'_>,
     name: &Found<String>,
     known: &Named<T>,
@@ -363,13 +367,19 @@
     at
 }
 
-fn target(table: &Table<'_>, pools: &Named<Pool>) -> Option<Target> {
+/// `side` are pools that routes don't lead to.
+fn target(table: &Table<'_>, pools: &Named<Pool>, side: &[String]) -> Option<Target> {
     let (pool, refuse) = (table.text("pool"), table.choice("refuse", &REFUSALS));
     match (pool, refuse) {
         (Some(_), Some(refuse)) => {
             table.wrong(&refuse, "a route has a pool or a refusal, not both", None);
             None
         }
+        (Some(pool), None) if side.contains(&pool.value) => {
+            let message = format!("pool {:?} gets copies of a shadow, and no requests", pool.value);
+            table.wrong(&pool, message, None);
+            None
+        }
         (Some(pool), None) => index(table, &pool, pools, "pool").map(Target::Pool),
         (None, Some(refuse)) => Some(Target::Refuse(refuse.value)),
         (None, None) => {
@@ -439,13 +449,18 @@
 fn headers(table: &Table<'_>) -> Vec<Header> {
     let mut headers = Vec::new();
     for (name, value) in table.pairs("header") {
-        // RFC 9110, section 5.6.2.
-        let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
-        if name.value.is_empty() || !name.value.bytes().all(token) {
-            table.wrong(&name, format!("{:?} is no header's name", name.value), None);
-            continue;
-        }
-        headers.push(Header { name: name.value.to_ascii_lowercase(), value });
+        headers.extend(header_name(table, &name).map(|name| Header { name, value }));
     }
     headers
 }
+
+/// A header's name, in lower case.
+pub(crate) fn header_name(table: &Table<'_>, name: &Found<String>) -> Option<String> {
+    // RFC 9110, section 5.6.2.
+    let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+    let fits = !name.value.is_empty() && name.value.bytes().all(token);
+    if !fits {
+        table.wrong(name, format!("{:?} is no header's name", name.value), None);
+    }
+    fits.then(|| name.value.to_ascii_lowercase())
+}
--- a/crates/types/src/settings.rs
+++ b/crates/types/src/settings.rs
@@ -31,7 +31,7 @@
 }
 
 /// The settings object. Keys that are not named here are skipped.
-#[derive(Deserialize)]
+#[derive(Clone, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Facts {
     /// Balancers in the bank.
@@ -83,7 +83,7 @@
 }
 
 /// A class of requests; times in milliseconds.
-#[derive(Deserialize)]
+#[derive(Clone, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Service {
     /// Its name on sockets.
@@ -132,7 +132,7 @@
 }
 
 /// Which upstreams drop each other's repeats.
-#[derive(Deserialize, Default)]
+#[derive(Clone, Copy, Deserialize, Default)]
 #[serde(rename_all = "lowercase")]
 pub enum Group {
     /// All of them.
@@ -145,7 +145,7 @@
 }
 
 /// A tenant.
-#[derive(Deserialize)]
+#[derive(Clone, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Tenant {
     /// Its name on sockets.
@@ -157,7 +157,7 @@
 }
 
 /// What the site allows; times in milliseconds, 0 for none stated.
-#[derive(Deserialize)]
+#[derive(Clone, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct PolicyLimits {
     /// Most attempts of one request.
@@ -189,7 +189,7 @@
 }
 
 /// Figures of the rules; times in milliseconds.
-#[derive(Deserialize)]
+#[derive(Clone, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Safety {
     /// The longest silence towards discovery before news counts as told.
@@ -206,7 +206,7 @@
 }
 
 /// What is taken off the result.
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct Prices {
     /// For an attempt that crosses zones.
@@ -255,7 +255,7 @@
 }
 
 /// Properties of the kind of service.
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct FamilyInfo {
     /// An upstream that met a key lately serves it with less work.
