--- a/crates/mirror/src/side.rs
+++ b/crates/mirror/src/side.rs
@@ -1,7 +1,9 @@
 //! The side thread: carries copies to the candidate, compares, and keeps the record. Nothing here is
 //! waited for by the thread that serves.
 
+use std::cell::Cell;
 use std::fs;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,13 +14,13 @@
 use bytes::Bytes;
 use sableloom_checked::Problem;
 use sableloom_exchange::{
-    Answer, Asked, Clock, Exchange, Fields, Message, Options as ExchangeOptions, Reply, Service,
-    Source,
+    Answer, Asked, Call, Came, Clock, Exchange, Fields, Message, Options as ExchangeOptions, Reply,
+    Service, Source, Transport, Work,
 };
 use sableloom_http1::{Budget, Upstreams};
 use sableloom_serverfiles::ServerFiles;
 use sableloom_shadow::{End, Pair, Record, Rules, Side, Skip, Tried, compare};
-use sableloom_types::{Effect, Span};
+use sableloom_types::{Effect, Report, ServerId, Span};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{JoinSet, LocalSet};
 use tokio::time::{MissedTickBehavior, interval, timeout};
@@ -120,7 +122,7 @@
             facts,
             seed: u64::from(std::process::id()),
             clock: options.clock,
-            transport: transport.clone(),
+            transport: Rc::new(Seen(transport.clone())),
             source,
         })
         .map_err(|e| vec![Problem::of_file(&group.name, format!("pool: {e}"))])?;
@@ -128,12 +130,46 @@
         Ok(Self { exchange, transport, files })
     }
 
+    /// Ends its timers and watches.
     fn close(&self) {
         self.files.stop();
         self.exchange.close();
     }
 }
 
+/// Whether anything of a copy was sent. The decision module refuses a safe request that it gives up,
+/// as it may be asked again, whether or not an attempt was made; only the transport knows.
+#[derive(Clone, Default)]
+struct Begun(Rc<Cell<bool>>);
+
+/// The transport, seen to begin.
+struct Seen(Rc<Upstreams>);
+
+impl Transport for Seen {
+    fn attempt(self: Rc<Self>, call: Rc<Call>) -> Work<Came> {
+        if let Some(begun) = call.message.hold.as_ref().and_then(|h| h.downcast_ref::<Begun>()) {
+            begun.0.set(true);
+        }
+        self.0.clone().attempt(call)
+    }
+
+    fn probe(self: Rc<Self>, server: ServerId, to: SocketAddr) -> Work<Option<Report>> {
+        self.0.clone().probe(server, to)
+    }
+
+    fn retire(&self, server: ServerId, retired: bool) {
+        self.0.retire(server, retired);
+    }
+
+    fn moved(&self, server: ServerId) {
+        self.0.moved(server);
+    }
+
+    fn forget(&self, server: ServerId) {
+        self.0.forget(server);
+    }
+}
+
 struct Carrier {
     candidate: Copies,
     control: Option<Copies>,
@@ -148,14 +184,28 @@
 /// A copy that has ended, with what is to be recorded.
 struct Ended {
     job: Job,
+    /// For the gate.
+    end: End,
     candidate: Tried,
     control: Option<Tried>,
     disturbed: bool,
 }
 
+/// What came of a copy in one pool.
+enum Sent {
+    Served(Answer),
+    /// Its id is that of one that is out still, or too many are: nothing is known by that.
+    Not,
+    /// The decision module found no server for it.
+    Waited,
+    Failed,
+}
+
 impl Carrier {
     async fn serve(self: &Rc<Self>, options: &Options, mut jobs: mpsc::Receiver<Job>, ends: Ends) {
-        let mut record = Record::new(&options.name, options.classes.iter().cloned());
+        let copied = options.bounds.classes.iter().copied();
+        let classes = options.classes.iter().cloned().zip(copied);
+        let mut record = Record::new(&options.name, classes);
         record.pools = (options.live.clone(), options.candidate.name.clone());
         record.control = options.control.as_ref().map(|group| group.name.clone());
         record.from_ms = self.clock.now().0 / 1000;
@@ -210,12 +260,7 @@
                 return;
             }
         };
-        let Ended { job, candidate, control, disturbed } = ended;
-        let end = match &candidate {
-            Tried::Served(..) => End::Served,
-            Tried::Refused => End::Refused,
-            Tried::Failed(_) => End::Failed,
-        };
+        let Ended { job, end, candidate, control, disturbed } = ended;
         let id = String::from_utf8_lossy(&job.id[..job.id.len().min(ID_MOST)]).into_owned();
         let (class, live) = (job.class, job.took);
         let pair = Pair { class, id: &id, live, candidate, control, disturbed };
@@ -234,21 +279,26 @@
             None => (candidate.await, None),
         };
         let disturbed = self.shared.changes.touched(job.key, job.taken);
+        let end = match candidate.0 {
+            Sent::Served(_) => End::Served,
+            Sent::Not => End::Refused,
+            Sent::Waited | Sent::Failed => End::Failed,
+        };
         // What is not compared costs nothing.
-        let tried = |(reply, took): (Reply, Span)| match reply {
-            Reply::Served(_) if disturbed => Tried::Served(took, Vec::new()),
-            Reply::Served(answer) => {
+        let tried = |(sent, took): (Sent, Span)| match sent {
+            Sent::Served(_) if disturbed => Tried::Served(took, Vec::new()),
+            Sent::Served(answer) => {
                 Tried::Served(took, differences(&self.rules, &job.answer, &answer))
             }
-            Reply::Refused(_) => Tried::Refused,
-            Reply::Failed => Tried::Failed(took),
+            Sent::Not | Sent::Waited => Tried::Refused,
+            Sent::Failed => Tried::Failed(took),
         };
         let (candidate, control) = (tried(candidate), control.map(tried));
-        Ended { job, candidate, control, disturbed }
+        Ended { job, end, candidate, control, disturbed }
     }
 
     /// Sends a copy, and how long it took.
-    async fn send(&self, to: &Copies, job: &Job) -> (Reply, Span) {
+    async fn send(&self, to: &Copies, job: &Job) -> (Sent, Span) {
         let sent = self.clock.now();
         let asked = Asked {
             class: job.class,
@@ -256,13 +306,17 @@
             key: job.key,
             drop_dead: sent.plus(Span(self.time.as_micros() as i64)),
         };
-        // One whose id is that of a copy that is out still, or past the bound of what is open, is
-        // not sent; nothing is known of the candidate by that.
-        let reply = match to.exchange.clone().call(asked, self.message(job)) {
-            Ok(work) => timeout(self.time + PAST, work).await.unwrap_or(Reply::Failed),
-            Err(_) => Reply::Refused(None),
+        let begun = Begun::default();
+        let message = Message { hold: Some(Box::new(begun.clone())), ..self.message(job) };
+        let came = match to.exchange.clone().call(asked, message) {
+            Ok(work) => match timeout(self.time + PAST, work).await {
+                Ok(Reply::Served(answer)) => Sent::Served(answer),
+                _ if begun.0.get() => Sent::Failed,
+                _ => Sent::Waited,
+            },
+            Err(_) => Sent::Not,
         };
-        (reply, self.clock.now().since(sent))
+        (came, self.clock.now().since(sent))
     }
 
     /// The copy: marked, under an id of its own, without what is not to be copied.
--- a/crates/sableloom/tests/sockets/main.rs
+++ b/crates/sableloom/tests/sockets/main.rs
@@ -8,4 +8,5 @@
 mod reload;
 mod requests;
 mod server_files;
+mod shadow;
 mod shutdown;
--- a/crates/sableloom/tests/sockets/server_files.rs
+++ b/crates/sableloom/tests/sockets/server_files.rs
@@ -14,7 +14,7 @@
 use oorandom::Rand64;
 use sableloom_testkit::*;
 
-const CLASSES: &str = r#"
+pub const CLASSES: &str = r#"
 [[listener]]
 address = "127.0.0.1:0"
 
@@ -34,7 +34,7 @@
 "#;
 
 /// A pool that reads its files only when it hears of them: no test passes by the slow reading.
-fn pool(name: &str, more: &str) -> String {
+pub fn pool(name: &str, more: &str) -> String {
     format!(
         "[[pool]]\nname = \"{name}\"\nfiles = [\"{name}.toml\"]\nreread_ms = 600000\n{more}\n\
          [pool.cold]\ntime_ms = 0\n\n"
@@ -45,7 +45,7 @@
     format!("{CLASSES}\n{}[otherwise]\npool = \"points\"\n", pool("points", more))
 }
 
-fn list(peers: &[(&str, &Peer)]) -> String {
+pub fn list(peers: &[(&str, &Peer)]) -> String {
     servers("", peers.iter().map(|(id, peer)| (*id, peer.address, "")))
 }
 
--- a/crates/shadow/src/gate.rs
+++ b/crates/shadow/src/gate.rs
@@ -142,9 +142,9 @@
 pub enum End {
     /// The candidate served it.
     Served,
-    /// It was never sent: no room for it at the candidate, by our own judgement.
+    /// It was never sent, for a reason that says nothing of the candidate.
     Refused,
-    /// It failed, or nothing came in time.
+    /// It failed, nothing came in time, or no server of the candidate was fit to send it to.
     Failed,
 }
 
--- a/crates/shadow/src/judge.rs
+++ b/crates/shadow/src/judge.rs
@@ -118,7 +118,7 @@
 /// Judges a record.
 pub fn judge(record: &Record, limits: &Limits) -> Judgement {
     let mut findings = Vec::new();
-    for class in &record.classes {
+    for class in record.classes.iter().filter(|class| class.copied) {
         let sent = class.sent();
         let finding = |what, pairs: (u64, u64), share, chance, against| Finding {
             class: class.name.clone(),
--- a/crates/shadow/src/record.rs
+++ b/crates/shadow/src/record.rs
@@ -135,6 +135,8 @@
     pub name: String,
     /// An answer within this time is in time, in milliseconds.
     pub aim_ms: f64,
+    /// Its requests are copied.
+    pub copied: bool,
     /// Copies that have ended.
     pub ended: u64,
     /// Of those: not sent, for want of room at the candidate.
@@ -199,9 +201,9 @@
 }
 
 impl Record {
-    /// A record of nothing yet. Classes have a name and an aim in milliseconds.
-    pub fn new(shadow: &str, classes: impl IntoIterator<Item = (String, f64)>) -> Self {
-        let class = |(name, aim_ms)| Class { name, aim_ms, ..Class::default() };
+    /// A record of nothing yet. Classes have a name, an aim in milliseconds, and are copied or not.
+    pub fn new(shadow: &str, classes: impl IntoIterator<Item = ((String, f64), bool)>) -> Self {
+        let class = |((name, aim_ms), copied)| Class { name, aim_ms, copied, ..Class::default() };
         Self {
             format: FORMAT,
             shadow: shadow.to_string(),
--- a/crates/shadow/tests/compare.rs
+++ b/crates/shadow/tests/compare.rs
@@ -108,7 +108,7 @@
     );
     assert_eq!(values(&rules(&[], &[]), &deep(100), &deep(99)).len(), 1);
     // Names without end fill no record without end.
-    let mut record = Record::new("s", [("c".into(), 100.0)]);
+    let mut record = Record::new("s", [(("c".into(), 100.0), true)]);
     for n in 0..2000 {
         let at = format!("/n{n}");
         let difference =
@@ -141,7 +141,8 @@
 }
 
 fn record(pairs: impl IntoIterator<Item = (usize, Pair<'static>)>) -> Record {
-    let mut record = Record::new("s", [("balance".into(), 100.0)]);
+    let mut record =
+        Record::new("s", [(("balance".into(), 100.0), true), (("redeem".into(), 100.0), false)]);
     for (times, pair) in pairs {
         (0..times).for_each(|_| record.add(&pair, false));
     }
@@ -186,7 +187,10 @@
     for share in [0.1, 0.5, 0.99] {
         assert_eq!(d.candidate.quantile_ms(share), c.candidate.quantile_ms(share));
     }
-    let other = Record::new("other", [("balance".into(), 100.0)]);
+    let other = Record::new(
+        "other",
+        [(("balance".into(), 100.0), true), (("redeem".into(), 100.0), false)],
+    );
     assert!(back.merge(&other).is_err_and(|e| e.contains("other")));
     let newer = Record { format: 99, ..all.clone() };
     assert!(back.merge(&newer).is_err_and(|e| e.contains("form 99")));
@@ -239,7 +243,10 @@
     let mut blamed = 0;
     for seed in 0..1000u128 {
         let mut rng = oorandom::Rand64::new(seed);
-        let mut all = Record::new("s", [("balance".into(), 100.0)]);
+        let mut all = Record::new(
+            "s",
+            [(("balance".into(), 100.0), true), (("redeem".into(), 100.0), false)],
+        );
         for _ in 0..400 {
             let mut tried =
                 |share: f64| if rng.rand_float() < share { differing(10) } else { same(10) };
--- a/crates/site/src/shadow.rs
+++ b/crates/site/src/shadow.rs
@@ -73,6 +73,18 @@
     for (draft, rest) in drafts.into_iter().zip(rest) {
         let (to, control) = (take(draft.to), take(draft.control));
         if let (Some((name, of)), Some(to)) = (draft.shadow, to) {
+            // The decision module refuses what can't be served in the time that is left, by the aim
+            // and T_QoS until it knows better. Failure: with less time than an aim, it refused every
+            // copy, and the candidate was never asked.
+            let least = std::iter::once(&to).chain(&control).map(|pool| pool.t_qos_ms);
+            let least = least.fold(rest.aim_ms, f64::max);
+            let time_ms = rest.time_ms.as_ref().map_or(rest.longest_ms.max(least), |t| t.value);
+            if let Some(time) = rest.time_ms.as_ref().filter(|time| time.value < least) {
+                let message = format!(
+                    "{time_ms} ms is under {least} ms, the longest aim of its classes and T_QoS of its pools"
+                );
+                root.wrong(time, message, None);
+            }
             let record = rest.record.clone().unwrap_or(format!("shadow-{name}.json"));
             if shadows.iter().any(|other: &Shadow| other.record == record) {
                 let field = format!("shadow[{}].record", shadows.len());
@@ -86,7 +98,7 @@
                 control,
                 bounds: rest.bounds,
                 rules: rest.rules,
-                time_ms: rest.time_ms,
+                time_ms,
                 settle_ms: rest.settle_ms,
                 drop: rest.drop,
                 values: rest.values,
@@ -102,7 +114,10 @@
 struct Settings {
     bounds: Bounds,
     rules: Rules,
-    time_ms: f64,
+    time_ms: Option<Found<f64>>,
+    /// The longest deadline and the longest aim of the classes that are copied.
+    longest_ms: f64,
+    aim_ms: f64,
     settle_ms: f64,
     drop: Vec<String>,
     values: bool,
@@ -123,8 +138,11 @@
     };
     let wanted = copied(table, classes);
     // As long as any of the classes that are copied may take.
-    let of_these = classes.iter().zip(&wanted).filter(|(_, wanted)| **wanted);
-    let longest = of_these.map(|((_, class), _)| class.deadline_ms).fold(1.0, f64::max);
+    let longest_of = |time: fn(&Class) -> f64| {
+        let of_these = classes.iter().zip(&wanted).filter(|(_, wanted)| **wanted);
+        of_these.map(|((_, class), _)| time(class)).fold(1.0, f64::max)
+    };
+    let (longest, aim) = (longest_of(|c| c.deadline_ms), longest_of(|c| c.aim_ms));
     let by = table.choice("by", &[("key", By::Key), ("request", By::Request)]);
     let rest_ms = ms("rest_ms", 1.0, 1000.0);
     let rest_most = table.number("rest_most_ms", 1.0..=HOUR_MS, " ms");
@@ -158,7 +176,9 @@
     Settings {
         bounds,
         rules: rules(table.table("compare")),
-        time_ms: ms("time_ms", 1.0, longest),
+        time_ms: table.number("time_ms", 1.0..=HOUR_MS, " ms"),
+        longest_ms: longest,
+        aim_ms: aim,
         settle_ms: ms("settle_ms", 0.0, 1000.0),
         drop: names(table, "drop", &DROP),
         values: table.flag("values").is_some_and(|values| values.value),
