--- /dev/null
+++ b/crates/site/tests/shadow.rs
@@ -0,0 +1,145 @@
+//! What a site says of shadows, and what can be wrong with it.
+
+use sableloom_checked::Problem;
+use sableloom_shadow::{Bounds, By};
+use sableloom_site::*;
+use sableloom_types::Span;
+
+const SITE: &str = r#"
+[[listener]]
+address = "127.0.0.1:8080"
+
+[[class]]
+name = "balance"
+aim_ms = 100
+deadline_ms = 500
+effect = "safe"
+methods = "GET"
+
+[[class]]
+name = "redeem"
+aim_ms = 200
+deadline_ms = 900
+effect = "unsafe"
+methods = "POST"
+
+[[pool]]
+name = "next"
+files = "next.toml"
+
+[[pool]]
+name = "points"
+files = "points.toml"
+
+[[pool]]
+name = "old"
+files = "old.toml"
+
+[[pool]]
+name = "partners"
+files = "partners.toml"
+
+[[route]]
+name = "all"
+path.prefix = "/p/"
+pool = "partners"
+
+[otherwise]
+pool = "points"
+
+[[shadow]]
+name = "trial"
+of = "points"
+to = "next"
+"#;
+
+fn read_site(text: &str) -> Result<Site, Vec<String>> {
+    let said = |wrong: Vec<Problem>| wrong.iter().map(Problem::to_string).collect();
+    read("s.toml", text.as_bytes()).map_err(said)
+}
+
+fn good(text: &str) -> Site {
+    read_site(text).unwrap_or_else(|wrong| panic!("{wrong:#?}"))
+}
+
+#[test]
+fn what_is_not_said_of_a_shadow_has_stated_values() {
+    let site = good(SITE);
+    let shadow = &site.shadows[0];
+    let bounds = Bounds {
+        classes: vec![true, false],
+        share: 0.1,
+        by: By::Key,
+        per_second: 50.0,
+        in_flight: 16,
+        held: 1 << 20,
+        each: 64 << 10,
+        calm: Span(1_000_000),
+        live_open: 0,
+        trip: 8,
+        rest: Span(1_000_000),
+        rest_most: Span(60_000_000),
+        seed: 0,
+        own: 0,
+    };
+    assert_eq!(shadow.bounds, bounds);
+    assert_eq!((shadow.time_ms, shadow.settle_ms, shadow.values), (500.0, 1000.0, false));
+    assert_eq!(shadow.drop, ["authorization", "proxy-authorization", "cookie"]);
+    assert_eq!(shadow.rules.fields, ["content-type"]);
+    assert_eq!(shadow.record, "shadow-trial.json");
+}
+
+/// The pools that get copies are none that requests are led to, wherever they stand.
+#[test]
+fn pools_of_shadows_leave_the_others_in_their_order() {
+    let text = format!("{SITE}control = \"old\"\n");
+    let site = good(&text);
+    let names: Vec<_> = site.pools.iter().map(|pool| pool.name.as_str()).collect();
+    assert_eq!(names, ["points", "partners"]);
+    let shadow = &site.shadows[0];
+    assert_eq!((shadow.of, shadow.to.name.as_str()), (0, "next"));
+    assert_eq!(shadow.control.as_ref().map(|pool| pool.name.as_str()), Some("old"));
+    assert_eq!((site.routes[0].target, site.otherwise), (Target::Pool(1), Target::Pool(0)));
+    assert_eq!(site.every_pool().count(), 4);
+}
+
+#[test]
+fn all_that_is_wrong_with_a_shadow_is_said() {
+    let end = SITE.lines().count();
+    // A line of the shadow, or another text in place of one; what is said of it.
+    let cases: [(&str, &str, String); 22] = [
+        ("+", "classes = \"redeem\"", format!("s.toml:{}:11: field `shadow[0].classes`: \"redeem\" is not safe, and no such request is ever copied", end + 1)),
+        ("+", "classes = [\"balnce\"]", "no class \"balnce\"; did you mean `balance`?".into()),
+        ("+", "share = 1.5", "`shadow[0].share`: expected 0 to 1".into()),
+        ("+", "by = \"keys\"", "did you mean `key`?".into()),
+        ("+", "in_flight = 0", "`shadow[0].in_flight`: expected 1 to 10000".into()),
+        ("+", "per_second = 0", "`shadow[0].per_second`".into()),
+        ("+", "time_ms = 99", "99 ms is under 150 ms, the longest aim of its classes and T_QoS".into()),
+        ("+", "rest_ms = 500\nrest_most_ms = 400", "`shadow[0].rest_most_ms`: 400 ms is under the first rest of 500 ms".into()),
+        ("+", "record = \"\"", "a file has a name".into()),
+        ("+", "drop = [\"x y\"]", "\"x y\" is no header's name".into()),
+        ("+", "compare.ignore = [\"at\"]", "`shadow[0].compare.ignore[0]`: \"at\" is no pointer into an answer: it begins with \"/\"".into()),
+        ("+", "compare.unordered = \"/a~2\"", "RFC 6901".into()),
+        ("+", "compare.ignored = \"/a\"", "unknown field; did you mean `ignore`?".into()),
+        ("+", "inflight = 3", "unknown field; did you mean `in_flight`?".into()),
+        ("+", "control = \"next\"", "pool \"next\" is `shadow[0].to` already".into()),
+        ("+", "control = \"lod\"", "no pool \"lod\"; did you mean `old`?".into()),
+        ("+", "[[shadow]]\nname = \"trial\"\nof = \"partners\"\nto = \"old\"", "\"trial\" is named twice".into()),
+        ("+", "[[shadow]]\nname = \"b\"\nof = \"points\"\nto = \"old\"", "pool \"points\" is `shadow[0].of` already".into()),
+        ("+", "[[shadow]]\nname = \"b\"\nof = \"partners\"\nto = \"old\"\nrecord = \"shadow-trial.json\"", "`shadow[1].record`: \"shadow-trial.json\" is another shadow's".into()),
+        ("name = \"trial\"", "name = \"a/b\"", "has no \"/\"".into()),
+        ("to = \"next\"", "", "`shadow[0].to`: missing; expected a pool's name".into()),
+        ("pool = \"partners\"", "pool = \"next\"", "`route[0].pool`: pool \"next\" gets copies of a shadow, and no requests".into()),
+    ];
+    for (instead_of, line, says) in cases {
+        let text = match instead_of {
+            "+" => format!("{SITE}{line}\n"),
+            old => SITE.replace(old, line),
+        };
+        let wrong = read_site(&text).expect_err(line);
+        assert!(wrong.iter().any(|w| w.contains(&says)), "{line}: {says:?} is not in {wrong:#?}");
+    }
+    let unsafe_only = SITE.replace("effect = \"safe\"", "effect = \"unsafe\"");
+    let wrong = read_site(&unsafe_only).expect_err("nothing to copy");
+    assert!(wrong[0].contains("field `shadow[0]`: no class is safe"), "{wrong:#?}");
+}
