Begin a shadow only once those with copies at the same servers are over

A shadow that moved to another live pool began while the old one still had copies out at the same candidate: two decision modules would take its lanes for their own. What ends is known by its pools now, and waited for without blocking the thread. A request that is not copied costs no task any more.

--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -8,7 +8,6 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,7 +17,7 @@
 use sableloom_shadow::{Bounds, Changes, Copied, Counts, End, Gate, Rules};
 use sableloom_types::settings::Facts;
 use sableloom_types::{Span, Time};
-use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot, watch};
 
 pub use live::Mirror;
 
@@ -113,10 +112,35 @@
 /// Ends of copies, back to the gate. There are never more than copies out.
 type Ends = mpsc::UnboundedSender<(Copied, End)>;
 
+/// A shadow that copies nothing more, and may have copies out.
+#[derive(Clone, Debug)]
+pub struct Ending {
+    /// The pools that got its copies.
+    pools: Vec<String>,
+    /// Closed when its thread has ended, however that came about.
+    alive: watch::Receiver<()>,
+}
+
+impl Ending {
+    /// Whether it is over.
+    pub fn is_over(&self) -> bool {
+        self.alive.has_changed().is_err()
+    }
+
+    /// Whether its copies went to one of these pools.
+    pub fn shares<'p>(&self, mut pools: impl Iterator<Item = &'p str>) -> bool {
+        pools.any(|pool| self.pools.iter().any(|own| own == pool))
+    }
+
+    async fn over(mut self) {
+        while self.alive.changed().await.is_ok() {}
+    }
+}
+
 /// A shadow that is ready, and begins with [`Ready::go`].
 pub struct Ready {
     mirror: Mirror,
-    go: oneshot::Sender<Option<JoinHandle<()>>>,
+    go: oneshot::Sender<Vec<Ending>>,
 }
 
 impl Ready {
@@ -129,25 +153,33 @@
         let (ends, ended) = mpsc::unbounded_channel();
         let (ready, is_ready) = oneshot::channel();
         let (go, goes) = oneshot::channel();
+        let (lives, alive) = watch::channel(());
+        let groups = std::iter::once(&options.candidate).chain(&options.control);
+        let pools = groups.map(|group| group.name.clone()).collect();
         let name = options.name.clone();
         let live = live::Settings::of(&options);
         let theirs = shared.clone();
         let failed = |what: String| vec![Problem::of_file(&name, format!("shadow: {what}"))];
-        let thread = std::thread::Builder::new()
+        std::thread::Builder::new()
             .name("shadow".into())
-            .spawn(move || side::run(options, theirs, taken, ends, ready, goes))
+            .spawn(move || {
+                // Gone with the thread, also when it panics.
+                let _lives = lives;
+                side::run(options, theirs, taken, ends, ready, goes);
+            })
             .map_err(|e| failed(format!("no thread: {e}")))?;
         match is_ready.await {
             Ok(Ok(())) => {}
             Ok(Err(wrong)) => return Err(wrong),
             Err(_) => return Err(failed("its thread ended".into())),
         }
-        Ok(Self { mirror: Mirror::new(live, gate, shared, jobs, ended, thread), go })
+        let ending = Ending { pools, alive };
+        Ok(Self { mirror: Mirror::new(live, gate, shared, jobs, ended, ending), go })
     }
 
-    /// Begins, once the thread of the one that it takes the place of has ended: what that one still
-    /// has out at the same servers is then over.
-    pub fn go(self, after: Option<JoinHandle<()>>) -> Mirror {
+    /// Begins, once those that had copies out at the same servers are over: two decision modules would
+    /// each take those servers' lanes for their own.
+    pub fn go(self, after: Vec<Ending>) -> Mirror {
         // A thread that has ended meanwhile is seen with the first copy.
         let _ = self.go.send(after);
         self.mirror
--- a/crates/mirror/src/live.rs
+++ b/crates/mirror/src/live.rs
@@ -1,10 +1,9 @@
 //! The live side: watches requests on their way, and hands over copies of what has been answered.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::hash::Hasher;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::thread::JoinHandle;
 
 use bytes::Bytes;
 use rustc_hash::FxHasher;
@@ -16,7 +15,7 @@
 use tokio::sync::mpsc::{Sender, UnboundedReceiver, error::TrySendError};
 use tokio::task::spawn_local;
 
-use crate::{Job, Options, Shared};
+use crate::{Ending, Job, Options, Shared};
 
 /// What the live side goes by.
 pub(crate) struct Settings {
@@ -38,7 +37,7 @@
     shared: Arc<Shared>,
     jobs: RefCell<Option<Sender<Job>>>,
     ended: RefCell<UnboundedReceiver<(Copied, End)>>,
-    thread: Cell<Option<JoinHandle<()>>>,
+    ending: Ending,
 }
 
 impl Mirror {
@@ -48,7 +47,7 @@
         shared: Arc<Shared>,
         jobs: Sender<Job>,
         ended: UnboundedReceiver<(Copied, End)>,
-        thread: JoinHandle<()>,
+        ending: Ending,
     ) -> Self {
         Self {
             settings,
@@ -56,7 +55,7 @@
             shared,
             jobs: RefCell::new(Some(jobs)),
             ended: RefCell::new(ended),
-            thread: Cell::new(Some(thread)),
+            ending,
         }
     }
 
@@ -66,10 +65,10 @@
     }
 
     /// Copies nothing more. What is out ends within its time, and the record is written once more;
-    /// the thread ends then. `None` if it was stopped before.
-    pub fn stop(&self) -> Option<JoinHandle<()>> {
+    /// the thread ends then.
+    pub fn stop(&self) -> Ending {
         self.jobs.borrow_mut().take();
-        self.thread.take()
+        self.ending.clone()
     }
 
     /// Takes a request of the live pool, watched.
@@ -99,12 +98,7 @@
         Ok(Box::pin(async move {
             let reply = work.await;
             match (&reply, kept) {
-                (Reply::Served(answer), Some(kept)) => {
-                    let answer = answer.clone();
-                    let took = mirror.settings.clock.now().since(kept.taken);
-                    // In a turn of its own: the answer goes out first.
-                    spawn_local(async move { mirror.offer(&pool, kept, answer, took) });
-                }
+                (Reply::Served(answer), Some(kept)) => mirror.served(&pool, kept, answer),
                 (Reply::Served(_), None) => {}
                 (Reply::Refused(_) | Reply::Failed, _) => {
                     mirror.gate.borrow_mut().pressed(mirror.settings.clock.now());
@@ -148,9 +142,11 @@
         }
     }
 
-    fn offer(&self, pool: &Exchange, kept: Kept, answer: Answer, took: Span) {
-        let jobs = self.jobs.borrow();
-        let Some(jobs) = jobs.as_ref() else { return };
+    /// A request of the sample is answered: most end here.
+    fn served(self: &Rc<Self>, pool: &Exchange, kept: Kept, answer: &Answer) {
+        if self.jobs.borrow().is_none() {
+            return;
+        }
         let now = self.settings.clock.now();
         self.reap(now);
         let fields = |fields: &Fields| -> usize {
@@ -161,10 +157,18 @@
             + kept.body.len()
             + fields(&answer.fields)
             + answer.body.len();
-        let Ok(copied) = self.gate.borrow_mut().served(now, bytes, || pool.open()) else { return };
+        let copied = self.gate.borrow_mut().served(now, bytes, || pool.open());
+        if let Ok(copied) = copied {
+            let (mirror, answer) = (self.clone(), answer.clone());
+            let took = now.since(kept.taken);
+            // In a turn of its own: the answer goes out first.
+            spawn_local(async move { mirror.hand_over(kept, answer, took, copied) });
+        }
+    }
+
+    fn hand_over(&self, kept: Kept, answer: Answer, took: Span, copied: Copied) {
         // Copied in full: a part of a buffer would keep all of it, and what is held is bounded.
         let owned = |bytes: &Bytes| Bytes::copy_from_slice(bytes);
-        let answer = Answer { body: owned(&answer.body), ..answer };
         let job = Job {
             copied,
             class: kept.class,
@@ -175,15 +179,22 @@
             target: owned(&kept.target),
             fields: kept.fields,
             body: owned(&kept.body),
-            answer,
+            answer: Answer { body: owned(&answer.body), ..answer },
             taken: kept.taken,
             took,
         };
+        let sent = match self.jobs.borrow().as_ref() {
+            Some(jobs) => jobs.try_send(job),
+            // It was stopped in between.
+            None => Err(TrySendError::Closed(job)),
+        };
         // There is room for as many as may be out.
-        if let Err(TrySendError::Closed(job) | TrySendError::Full(job)) = jobs.try_send(job) {
+        if let Err(TrySendError::Closed(job) | TrySendError::Full(job)) = sent {
             self.gate.borrow_mut().lost(job.copied);
-            let name = &self.settings.name;
-            eprintln!("sableloom: shadow {name}: its thread has ended; nothing more is copied");
+            if self.jobs.borrow().is_some() {
+                let name = &self.settings.name;
+                eprintln!("sableloom: shadow {name}: its thread has ended; nothing more is copied");
+            }
         }
     }
 }
--- a/crates/mirror/src/side.rs
+++ b/crates/mirror/src/side.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,9 +24,10 @@
 use tokio::task::{JoinSet, LocalSet};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
-use crate::{Ends, Group, ID_END, ID_FIELD, Job, MARK, Options, Shared};
+use crate::{Ending, Ends, Group, ID_END, ID_FIELD, Job, MARK, Options, Shared};
 
-/// How nice the thread is to others (setpriority(2)): of a core that all want it gets a tenth.
+/// How nice the thread is to others: of a core that all want it gets a tenth. Linux keeps this for each
+/// thread, under its own id (setpriority(2), bugs).
 const NICE: i32 = 10;
 /// A copy that the decision module has not ended so long past its time is given up.
 const PAST: Duration = Duration::from_secs(1);
@@ -45,7 +45,7 @@
     jobs: mpsc::Receiver<Job>,
     ends: Ends,
     ready: Told,
-    go: oneshot::Receiver<Option<JoinHandle<()>>>,
+    go: oneshot::Receiver<Vec<Ending>>,
 ) {
     let thread = rustix::thread::gettid();
     if let Err(e) = rustix::process::setpriority_process(Some(thread), NICE) {
@@ -92,9 +92,9 @@
             return;
         }
         let Ok(before) = go.await else { return };
-        if let Some(before) = before {
-            // It ends within the time of a copy. Nothing is missed here meanwhile but copies.
-            let _ = before.join();
+        for ending in before {
+            // Within the time of a copy. Nothing is missed here meanwhile but copies.
+            ending.over().await;
         }
         at.serve(&options, jobs, ends).await;
     });
--- a/crates/sableloom/src/serve.rs
+++ b/crates/sableloom/src/serve.rs
@@ -3,14 +3,13 @@
 use std::cell::RefCell;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use sableloom_checked::Problem;
 use sableloom_exchange::{Asked, Clock, Exchange, Message, Reply, Service, Turned, Work};
 use sableloom_exchange::{Options as ExchangeOptions, Source};
 use sableloom_http1::{Budget, Dialect, Frontend, Upstreams};
-use sableloom_mirror::{Group, Mirror, Options as MirrorOptions, Ready};
+use sableloom_mirror::{Ending, Group, Mirror, Options as MirrorOptions, Ready};
 use sableloom_routes::{Head, Table};
 use sableloom_serverfiles::{Files, Prepared, ServerFiles, bytes_of};
 use sableloom_serverlist::Spec;
@@ -299,21 +298,20 @@
             old.pools.iter().filter(|p| !pools.iter().any(|q| Rc::ptr_eq(p, q))).cloned().collect();
         gone.iter().for_each(|pool| pool.files.stop());
         // Those that go, and those that have another in their place.
-        let mut ended: Vec<(String, Option<JoinHandle<()>>)> = Vec::new();
-        for (at, pool) in old.pools.iter().enumerate() {
+        let mut ending = Vec::new();
+        for pool in &old.pools {
             let stays =
                 site.shadows.iter().zip(&shadows).any(|(shadow, ready)| {
                     ready.is_none() && site.pools[shadow.of].name == pool.name
                 });
-            if let Some(mirror) = pool.mirror.borrow_mut().take_if(|_| !stays) {
-                ended.push((old.pools[at].name.clone(), mirror.stop()));
-            }
+            let ends = pool.mirror.borrow_mut().take_if(|_| !stays);
+            ending.extend(ends.map(|mirror| mirror.stop()));
         }
         for (shadow, ready) in site.shadows.iter().zip(shadows) {
             let Some(ready) = ready else { continue };
-            let before = ended.iter_mut().find(|(pool, _)| *pool == site.pools[shadow.of].name);
-            let mirror = ready.go(before.and_then(|(_, thread)| thread.take()));
-            *pools[shadow.of].mirror.borrow_mut() = Some(Rc::new(mirror));
+            let names = || shadow.pools().map(|pool| pool.name.as_str());
+            let before = ending.iter().filter(|e| e.shares(names())).cloned().collect();
+            *pools[shadow.of].mirror.borrow_mut() = Some(Rc::new(ready.go(before)));
         }
         let what = format!(
             "configuration {} ({}) in force: {} routes, {} pools{}{}",
@@ -380,7 +378,7 @@
 
     for shadow in &site.shadows {
         let ready = shared.shadow(&site, shadow).await.map_err(|wrong| told(&wrong))?;
-        *pools[shadow.of].mirror.borrow_mut() = Some(Rc::new(ready.go(None)));
+        *pools[shadow.of].mirror.borrow_mut() = Some(Rc::new(ready.go(Vec::new())));
     }
 
     let facts = Rc::new(site.facts(&site.pools[0]));
@@ -421,11 +419,12 @@
     term.recv().await;
     eprintln!("sableloom: SIGTERM; {} open", router.open());
     // Copies end while what was taken is finished, and the records are written once more.
-    let shadows: Vec<_> = router.pools().iter().filter_map(|p| p.mirror.take()?.stop()).collect();
+    let shadows: Vec<_> =
+        router.pools().iter().filter_map(|p| Some(p.mirror.take()?.stop())).collect();
     door.finish(|| router.open()).await;
     // A candidate that hangs holds up no end.
     let last = Instant::now() + SHADOW_LAST;
-    while shadows.iter().any(|thread| !thread.is_finished()) && Instant::now() < last {
+    while !shadows.iter().all(Ending::is_over) && Instant::now() < last {
         sleep(Duration::from_millis(5)).await;
     }
     Ok(())
--- a/crates/sableloom/tests/sockets/shadow.rs
+++ b/crates/sableloom/tests/sockets/shadow.rs
@@ -497,6 +497,53 @@
     assert_eq!(ids, ["kept-shadow"]);
 }
 
+/// A shadow that moves to another live pool sends to the same candidate: not before what the old one
+/// has out there is over, or its servers would be taken for free by both.
+#[test]
+fn a_shadow_begins_once_the_one_before_it_is_over() {
+    let (live, _came) = answering("{}");
+    let (lets, let_go) = channel::<()>();
+    let let_go = Mutex::new(let_go);
+    let (open, most) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let seen = most.clone();
+    let (candidate, copies) = Peer::upstream(move |number, _, conn| {
+        seen.fetch_max(open.fetch_add(1, Ordering::SeqCst) + 1, Ordering::SeqCst);
+        if number == 0 {
+            let _ = let_go.lock().expect("unpoisoned").recv_timeout(LONG);
+        }
+        open.fetch_sub(1, Ordering::SeqCst);
+        conn.write(json("{}"));
+        true
+    });
+    let text = site("in_flight = 1\n", &["points", "other", "candidate"])
+        .replace("aim_ms = 5000", "aim_ms = 600000")
+        .replace("deadline_ms = 20000", "deadline_ms = 600000");
+    let site = Site::new(&text);
+    for (file, peer) in [("points", &live), ("other", &live), ("candidate", &candidate)] {
+        site.write(&format!("{file}.toml"), &list(&[("one", peer)]));
+    }
+    let balancer = Balancer::serving(&site);
+    let mut client = balancer.client();
+    let mut ask = |id: &str| {
+        client.write(read(id, "").replace("2500", "600000"));
+        assert_eq!(client.message().expect("an answer").status(), 200);
+    };
+    ask("old");
+    assert_eq!(copies.recv_timeout(LONG).expect("a copy").id(), "old-shadow");
+    let moved = text
+        .replace("path.prefix = \"/\"\npool = \"points\"", "path.prefix = \"/\"\npool = \"other\"")
+        .replace("of = \"points\"", "of = \"other\"");
+    assert!(moved.contains("pool = \"other\"\n"));
+    site.write("site.toml", &moved);
+    balancer.hang_up();
+    balancer.says(&["configuration 2", "shadows next"]);
+    (0..200).for_each(|n| ask(&format!("new-{n}")));
+    lets.send(()).expect("a candidate");
+    let next = copies.recv_timeout(LONG).expect("a copy");
+    assert!(next.id().starts_with("new-"), "{}", next.id());
+    assert_eq!(most.load(Ordering::SeqCst), 1, "copies of both were out at once");
+}
+
 #[test]
 fn a_live_request_that_fails_stops_the_copying_for_a_while() {
     let (live, _came) = Peer::upstream(|_, message, conn| {
