--- a/crates/sableloom/src/shadow.rs
+++ b/crates/sableloom/src/shadow.rs
@@ -178,9 +178,10 @@
     };
     let (share, low, high) = finding.share;
     let mut all = format!("{}: {what}", finding.class);
-    let beside = match finding.chance {
-        Some(_) => "beyond what else shows it, ",
-        None => "",
+    let beside = match (finding.chance, &finding.what) {
+        (None, _) => "",
+        (Some(_), What::Late) => "beyond the reverse, ",
+        (Some(_), _) => "beyond the control group, ",
     };
     let _ =
         write!(all, "; {beside}{:.2}% ({:.2} to {:.2})", 100.0 * share, 100.0 * low, 100.0 * high);
@@ -304,7 +305,7 @@
             .map_err(|e| wrong(&e))?;
         chart
             .configure_mesh()
-            .x_desc("ms, each doubling as far as the last")
+            .x_desc("ms, on a logarithmic scale")
             .y_desc("% answered by then")
             .x_label_formatter(&|x| if *x < 10.0 { format!("{x:.1}") } else { format!("{x:.0}") })
             .light_line_style(WHITE)
--- a/crates/site/src/shadow.rs
+++ b/crates/site/src/shadow.rs
@@ -161,7 +161,7 @@
         in_flight: whole("in_flight", 1, 10_000, 16),
         held: kb("held_kb", 1 << 10),
         each: kb("each_kb", 64),
-        calm: span(ms("calm_ms", 0.0, 1000.0)),
+        calm: span(ms("calm_ms", 0.0, 100.0)),
         live_open: whole("live_open", 0, 1_000_000, 0),
         trip: whole("trip", 1, 10_000, 8) as u32,
         rest: span(rest_ms),
