Spare a connection that just came in a want of descriptors; idle upstream ones give way

A test that wants descriptors failed once and hung once. Seen: what is told to close holds its descriptor until it has wound down, the want is met again every few milliseconds meanwhile, and after all at rest the connection that had just come and not yet spoken was closed too. It is spared for 500 ms while others close. At the servers' side those that waited for a place while all were busy waited on beside idle ones until their time to connect was up: an idle connection is now closed when someone waits. The test's process outlived it as it kept its clients.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -35,6 +35,8 @@
 const PREFER_ANSWERED: f64 = 1.25;
 /// The least number of places that a want of descriptors brings the limit down to.
 const LIMIT_LEAST: usize = 8;
+/// While others close, a new connection has so long to say something: as long as closing takes.
+const YOUNG: Span = Span(500_000);
 /// Advice to those turned away is within these bounds.
 const ADVICE_LEAST: Span = Span(50_000);
 /// How much one busy period changes the mean.
@@ -362,14 +364,27 @@
         let fewer = held - (held / 16).max(1).min(held);
         self.limit = self.limit.min(fewer.max(LIMIT_LEAST));
         let mut releases = Vec::new();
+        let winding_down = self.conns.values().any(|conn| conn.stage == Stage::Closing);
         for _ in self.limit..held {
             let Some((_, id)) = self.spare.least(now, &self.habits, &KINDS) else { break };
+            // What closes gives its descriptor back only when it has wound down, and until then this
+            // is asked again and again. Failure: all at rest were closed within that time, and after
+            // them the one that had just come and not yet spoken.
+            if winding_down && self.is_young(now, id) {
+                break;
+            }
             self.closing(now, id, false);
             releases.push(Release { id, why: Why::Room });
         }
         releases
     }
 
+    fn is_young(&self, now: Time, id: ConnId) -> bool {
+        self.conns.get(&id).is_some_and(|conn| {
+            conn.stage == Stage::Waits(Kind::Fresh) && now.since(conn.since) < YOUNG
+        })
+    }
+
     // ------------------------------------------------------------ what connections do
 
     /// What a connection is about; `None` once it is closed.
--- a/crates/admission/tests/rules.rs
+++ b/crates/admission/tests/rules.rs
@@ -297,6 +297,32 @@
     assert_eq!(admission.limit(), PLACES);
 }
 
+/// What is told to close holds its descriptor while it winds down, and the want lasts as long.
+#[test]
+fn in_a_want_that_lasts_one_that_has_just_come_is_spared() {
+    let mut now = Time(1_000_000_000);
+    let mut admission = Admission::new(bounds(), now);
+    let resting: Vec<_> = (0..28).map(|_| admit(&mut admission, now, 1)).collect();
+    assert!(resting.iter().all(|id| ask(&mut admission, now, *id)));
+    now = now.plus(Span(200 * MS));
+    let fresh = admit(&mut admission, now, 2);
+    let mut told = Vec::new();
+    for _ in 0..49 {
+        now = now.plus(Span(10 * MS));
+        told.extend(admission.no_descriptor(now).into_iter().map(|release| release.id));
+    }
+    assert!(!told.is_empty() && !told.contains(&fresh), "{told:?}");
+    assert!(told.iter().all(|id| resting.contains(id)));
+    // One that stays silent is no exception for long, and one alone is none at all.
+    now = now.plus(Span(20 * MS));
+    told.extend(admission.no_descriptor(now).into_iter().map(|release| release.id));
+    assert!(told.contains(&fresh));
+    let mut admission = Admission::new(bounds(), now);
+    let all: Vec<_> = (0..20).map(|_| admit(&mut admission, now, 1)).collect();
+    let first = admission.no_descriptor(now);
+    assert!(first.iter().all(|release| all.contains(&release.id)) && first.len() == 1);
+}
+
 #[test]
 fn time_limits_are_told_once_they_are_over_and_not_before() {
     let start = Time(1_000_000_000);
--- a/crates/http1/src/upstream.rs
+++ b/crates/http1/src/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to servers and the attempts that go over them. What comes back is reported as facts;
 //! what they prove is the exchange's to say.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -60,13 +60,19 @@
 /// that of the longest idle connection, whichever pool has it.
 pub struct Budget {
     slots: Arc<Semaphore>,
+    /// Those that wait for one.
+    waiting: Cell<usize>,
     users: RefCell<Vec<Weak<Upstreams>>>,
 }
 
 impl Budget {
     /// At most so many connections.
     pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Self { slots: Arc::new(Semaphore::new(most)), users: RefCell::default() })
+        Rc::new(Self {
+            slots: Arc::new(Semaphore::new(most)),
+            waiting: Cell::new(0),
+            users: RefCell::default(),
+        })
     }
 
     async fn slot(&self) -> Option<OwnedSemaphorePermit> {
@@ -74,6 +80,9 @@
             return Some(slot);
         }
         self.close_longest_idle();
+        // Where none is idle, the next to be is closed instead of kept. Failure: those that waited
+        // while all were busy waited on beside idle ones, until their time to connect was up.
+        let _waits = Waits::new(&self.waiting);
         self.slots.clone().acquire_owned().await.ok()
     }
 
@@ -101,6 +110,22 @@
     }
 }
 
+/// One that waits, until it is dropped.
+struct Waits<'b>(&'b Cell<usize>);
+
+impl<'b> Waits<'b> {
+    fn new(waiting: &'b Cell<usize>) -> Self {
+        waiting.set(waiting.get() + 1);
+        Self(waiting)
+    }
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// The HTTP/1.1 transport: the connections to servers that carry no request.
 pub struct Upstreams {
     /// The longest idle first.
@@ -165,7 +190,7 @@
     }
 
     fn put(&self, server: ServerId, mut conn: Conn) {
-        if self.is_retired(server) {
+        if self.is_retired(server) || self.budget.waiting.get() > 0 {
             return;
         }
         conn.rested = Instant::now();
--- a/crates/sableloom/tests/sockets/limits.rs
+++ b/crates/sableloom/tests/sockets/limits.rs
@@ -308,6 +308,8 @@
             assert_eq!(client.message().expect("an answer").status(), 200, "client {i}");
             crowd.push(client);
         }
+        // Or the process would outlive the test's.
+        drop(all);
         let _ = done.send(());
     });
     // Some 25 in each 2.5 s, if places came back only when their time is over.
