--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -256,7 +256,7 @@
     fn probed(self: &Rc<Self>, server: ServerId, report: Option<Report>, took: Duration) {
         let took = Span(took.as_micros() as i64);
         let (alive, report) = (report.is_some(), report.unwrap_or_default());
-        self.tell(|balancer, now, out| balancer.probed(now, server, alive, took, report, out));
+        self.tell(|balancer, _, _| balancer.probed(server, alive, took, report));
     }
 
     // ------------------------------------------------------------ what sources tell
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -121,7 +121,7 @@
         Event::TimeoutFired(m) => instance.timer(now, m.token, reply),
         Event::Left(m) => instance.left(now, &m.job, reply),
         Event::Membership(m) => instance.membership(now, m, reply),
-        Event::Sampled(m) => instance.sampled(now, m, reply),
+        Event::Sampled(m) => instance.sampled(m, reply),
         Event::Established(m) => instance.established(now, &m.job, reply),
         Event::Memo(_) | Event::Init(_) | Event::Down(_) => {}
     }
