--- a/crates/bank/src/case.rs
+++ b/crates/bank/src/case.rs
@@ -2,6 +2,11 @@
 
 use crate::server::Shape;
 
+/// A millisecond, in microseconds.
+pub const MS: i64 = 1000;
+/// A second, in microseconds.
+pub const S: i64 = 1000 * MS;
+
 /// What the script changes.
 #[derive(Clone, Debug)]
 pub enum Change {
@@ -83,7 +88,7 @@
 pub struct Case {
     /// Its name, as the command takes it.
     pub name: &'static str,
-    /// Balancers and servers.
+    /// Balancers.
     pub balancers: usize,
     /// Servers.
     pub servers: usize,
@@ -103,7 +108,7 @@
     pub script: Vec<(i64, Change)>,
 }
 
-/// The hard cases at this size. `per_server` balancers stand before each server.
+/// The hard cases of a bank of this size.
 pub fn cases(balancers: usize, servers: usize) -> Vec<Case> {
     let plain = Case {
         name: "kinds",
--- a/crates/bank/src/tally.rs
+++ b/crates/bank/src/tally.rs
@@ -4,7 +4,7 @@
 
 use sableloom_types::Time;
 
-use crate::world::S;
+use crate::case::S;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/bank/src/world.rs
+++ b/crates/bank/src/world.rs
@@ -9,14 +9,10 @@
 use sableloom_policy::decide::Balancer;
 use sableloom_types::*;
 
-use crate::case::{Case, Change};
+use crate::case::{Case, Change, MS, S};
 use crate::server::{Job, Server, Shape};
 use crate::tally::{End, Tally};
 
-/// A millisecond, in microseconds.
-pub const MS: i64 = 1000;
-/// A second, in microseconds.
-pub const S: i64 = 1000 * MS;
 /// A connection that is not up by then has failed.
 const CONNECT: Span = Span(120 * MS);
 /// One way within a zone, and to another.
