Two tests of the module that could not fail: one mended, one taken out

Seen: with a kind's weight fixed at 4, an_upstream_unlike_its_kind_is_told_apart passed as well (3 sends against 4); an_overrun_zone_spills_into_an_idle_one does fail there and stays as the test of that defence. With a suspicion of a zone that is never lifted, a_zone_that_answers_again passed; it now has eight requests at once and fails (25 of 200 there, more than 60 wanted).

--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -570,15 +570,6 @@
     assert!(quick > 90, "of 120, with half an answer an upstream: {quick}");
 }
 
-#[test]
-fn an_upstream_unlike_its_kind_is_told_apart() {
-    // Failure: with its kind's slowness mixed in for ever, a slow zone kept its part of the work.
-    let list: Vec<_> = (0..4).map(|i| member(i, 0)).collect();
-    let sends = sends_where(&list, 400, 200, |server| if server == 3 { 60 } else { 10 });
-    assert!(sends[3] < 20, "{sends:?}");
-    assert!(sends[..3].iter().all(|&n| n > 30), "{sends:?}");
-}
-
 #[test]
 fn lanes_follow_what_is_there_of_the_fleet() {
     // Failure: when most of a bank was new and cold, the lanes meant for all went to the rest, which
@@ -629,23 +620,25 @@
 
 #[test]
 fn a_zone_that_answers_again_is_used_again() {
+    // Does harm where a suspicion outlives its cause: one request at a time would go there for ever.
     let mut w = World::with_servers(settings(), 4);
+    let lost = |w: &World, id| w.out(id).is_some_and(|server: ServerId| server.0 % 2 == 1);
     for id in 0..8 {
         w.request(id, 0);
-        (0..3).for_each(|i| w.outcome(id, i, Outcome::ConnectFailed));
+        for attempt in 0..3 {
+            let outcome = if lost(&w, id) { Outcome::ConnectFailed } else { Outcome::Ok };
+            w.outcome(id, attempt, outcome);
+        }
     }
-    for id in 100..400 {
-        w.request(id, 0);
-        serve(&mut w, id, 20);
+    let mut there = 0;
+    for round in 0..50 {
+        let ids = 100 + round * 8..108 + round * 8;
+        ids.clone().for_each(|id| w.request(id, 0));
+        there += ids.clone().filter(|&id| round >= 25 && lost(&w, id)).count();
+        w.pass(Span(20 * MS));
+        ids.for_each(|id| w.outcome(id, 0, Outcome::Ok));
     }
-    let late = |server| {
-        w.log
-            .iter()
-            .rev()
-            .take(400)
-            .any(|a| matches!(a, Action::Send { server: s, .. } if s.0 == server))
-    };
-    assert!((0..4).all(late), "all four upstreams of both zones");
+    assert!(there > 60, "{there} of 200 in the zone that was lost");
 }
 
 #[test]
