A points node in model time, and the bank of balancers upon it

One node model serves both from now on: crates/emulator, with queue, slots, connections that cost work, a ramp from cold, a fall when pushed over, pauses, faults by class, keys that come back cheaper and a count of executions that outlives a crash.

--- a/crates/bank/src/case.rs
+++ b/crates/bank/src/case.rs
@@ -1,6 +1,6 @@
 //! The hard cases: how large the bank is, how loaded, and what happens when.
 
-use crate::server::Shape;
+use sableloom_emulator::Shape;
 
 /// A millisecond, in microseconds.
 pub const MS: i64 = 1000;
@@ -83,6 +83,15 @@
     },
 }
 
+/// What clients do that were refused, or failed with what is safe to repeat.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Clients {
+    /// How often one comes again, at any balancer of its zone.
+    pub again: u32,
+    /// After how many milliseconds, at least and at most.
+    pub after_ms: (i64, i64),
+}
+
 /// One case.
 #[derive(Clone, Debug)]
 pub struct Case {
@@ -104,10 +113,20 @@
     pub hot: (usize, f64),
     /// A list reaches a balancer within so many milliseconds.
     pub late_ms: i64,
+    /// Connections that a server holds at most, each new one at the price of a handshake; without,
+    /// they cost nothing.
+    pub connections: Option<usize>,
+    /// Clients that come again.
+    pub clients: Clients,
     /// What happens, and at which millisecond.
     pub script: Vec<(i64, Change)>,
 }
 
+/// What a server holds in the middle of the operators' span.
+const CONNECTIONS: Option<usize> = Some(160);
+/// Up to twice again, soon after.
+const COME_AGAIN: Clients = Clients { again: 2, after_ms: (100, 400) };
+
 /// The hard cases of a bank of this size.
 pub fn cases(balancers: usize, servers: usize) -> Vec<Case> {
     let plain = Case {
@@ -120,6 +139,8 @@
         seconds: 8,
         hot: (0, 1.0),
         late_ms: 800,
+        connections: None,
+        clients: Clients::default(),
         script: vec![],
     };
     let case = |name, script: Vec<(i64, Change)>| Case { name, script, ..plain.clone() };
@@ -182,5 +203,17 @@
                 vec![(3000, Change::KindNew { from: servers * 3 / 4, kind: 7, shape: fast })],
             )
         },
+        Case {
+            seconds: 14,
+            connections: CONNECTIONS,
+            clients: COME_AGAIN,
+            ..case("join", vec![(2000, Change::Replace { from: 0, to: sixth, ms: 7000 })])
+        },
+        Case {
+            seconds: 14,
+            connections: CONNECTIONS,
+            clients: COME_AGAIN,
+            ..case("zone", vec![(3000, Change::ZoneGone { zone: 2, ms: 5000 })])
+        },
     ]
 }
--- a/crates/bank/src/lib.rs
+++ b/crates/bank/src/lib.rs
@@ -6,11 +6,10 @@
 //! baselines play the same: choice by lot, and a policy that sees the true state of every server,
 //! which no real one can. The rules are checked on every action.
 //!
-//! Times are model times. The model leaves out connections and their price, keys, and clients that
-//! come again.
+//! Times are model times. The servers are the nodes of `sableloom-emulator`. Some cases have clients
+//! that come again and connections with a price; keys are left out.
 
 pub mod case;
-pub mod server;
 pub mod tally;
 pub mod world;
 
--- a/crates/bank/src/tally.rs
+++ b/crates/bank/src/tally.rs
@@ -51,6 +51,12 @@
     pub asked: usize,
     /// Attempts, and how they ended.
     pub attempts: usize,
+    /// Attempts that a new connection was opened for, where those have a price.
+    pub connections: usize,
+    /// Attempts whose connection the server did not take.
+    pub shut_out: usize,
+    /// Servers that were pushed over.
+    pub falls: usize,
     /// By name of the outcome.
     pub outcomes: BTreeMap<String, usize>,
     /// The most work sent to a cold server within the window of the rule, over what the rule allows.
@@ -69,6 +75,9 @@
             failed: 0,
             asked: 0,
             attempts: 0,
+            connections: 0,
+            shut_out: 0,
+            falls: 0,
             outcomes: BTreeMap::new(),
             pushed: 0.0,
             broken: Vec::new(),
--- a/crates/bank/src/world.rs
+++ b/crates/bank/src/world.rs
@@ -2,15 +2,17 @@
 //! servers, the list of them, and a script of what goes wrong. One seed makes all of it.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::rc::Rc;
 
 use oorandom::Rand64;
+use sableloom_emulator::{
+    Ask, Done, Ending, Fault, KINDS, Nature, Node, Phase, Shape, kind, noise,
+};
 use sableloom_policy::decide::Balancer;
 use sableloom_types::*;
 
-use crate::case::{Case, Change, MS, S};
-use crate::server::{Job, Server, Shape};
+use crate::case::{Case, Change, Clients, MS, S};
 use crate::tally::{End, Tally};
 
 /// A connection that is not up by then has failed.
@@ -31,6 +33,9 @@
     Seeing,
 }
 
+/// A connection at rest is used again for so long.
+const KEEPALIVE: Span = Span(15 * S);
+
 /// The classes that the bank serves: `balance` may be repeated, `redeem` must never run twice.
 pub fn settings(case: &Case) -> Settings {
     let class = |aim: i64, worth, effect| Class {
@@ -81,10 +86,10 @@
     Arrive,
     Timer { balancer: usize, life: u32, token: u64 },
     Reach(usize),
-    Worked { server: usize, version: u64 },
-    Waited { server: usize, life: u32, attempt: usize },
+    Node { server: usize, version: u64 },
     Back { attempt: usize, outcome: Outcome },
     Expire(usize),
+    Again(usize),
     Told { balancer: usize, list: Rc<Vec<Member>> },
     Script(usize),
     Up(usize),
@@ -117,8 +122,10 @@
     work: f64,
     wait: Span,
     attempts: Vec<usize>,
-    runs: u32,
     end: Option<End>,
+    /// When the client first asked for this, and the how many-eth time it is, from 0.
+    first: Time,
+    time: u32,
 }
 
 struct Attempt {
@@ -128,25 +135,21 @@
     server_life: u32,
     sent: Time,
     ended: Option<Outcome>,
-    began: bool,
+    /// It came over a new connection.
+    fresh: bool,
 }
 
 struct Place {
-    server: Server,
+    node: Node<usize>,
     zone: u32,
     kind: u32,
     status: Status,
-    /// Its process runs and can be reached.
+    /// Its machine can be reached.
     up: bool,
+    /// One more with each crash: connections of a former life are gone.
     life: u32,
     started: Option<Time>,
     version: u64,
-    /// Share of its answers that are errors, and how many times slower than built.
-    failing: f64,
-    slower: f64,
-    class_slower: [f64; 2],
-    /// Work that began here in the last windows, against what it could do: the cold rule.
-    pushed: Vec<(Time, f64)>,
 }
 
 struct Front {
@@ -171,6 +174,11 @@
     cut: Vec<u32>,
     asked: Vec<Asked>,
     attempts: Vec<Attempt>,
+    /// Connections at rest by balancer and server: the server's life, and since when each rests.
+    idle: HashMap<(usize, usize), (u32, Vec<Time>)>,
+    done: Vec<Done>,
+    /// Servers that were pushed over and not started since.
+    fell: HashSet<usize>,
     /// Requests a microsecond at load 1.
     full_rate: f64,
     load: f64,
@@ -200,21 +208,17 @@
         let mut rng = Rand64::new(u128::from(seed) + 1);
         let places: Vec<Place> = (0..case.servers)
             .map(|i| Place {
-                server: Server::new(shape(case, &mut rng, i), now),
+                node: Node::new(nature(case, &settings, shape(case, &mut rng, i)), 2, now),
                 zone: (i % case.zones) as u32,
-                kind: kind(case, i),
+                kind: if case.kinds { kind(i) as u32 } else { 0 },
                 status: Status::Live,
                 up: true,
                 life: 0,
                 started: None,
                 version: 0,
-                failing: 0.0,
-                slower: 1.0,
-                class_slower: [1.0; 2],
-                pushed: Vec::new(),
             })
             .collect();
-        let capacity: f64 = places.iter().map(|p| p.server.shape().capacity()).sum();
+        let capacity: f64 = places.iter().map(|p| p.node.nature().shape.capacity()).sum();
         let mean = SAFE * WORK[0].0 + (1.0 - SAFE) * WORK[1].0;
         let list: Rc<Vec<Member>> = Rc::new(Vec::new());
         let fronts = (0..case.balancers)
@@ -239,6 +243,9 @@
             cut: Vec::new(),
             asked: Vec::new(),
             attempts: Vec::new(),
+            idle: HashMap::new(),
+            done: Vec::new(),
+            fell: HashSet::new(),
             full_rate: capacity / mean,
             load: case.load,
             tally: Tally::new(now, case.seconds),
@@ -314,27 +321,37 @@
         } else {
             return;
         }
-        let total: f64 = self.fronts.iter().map(|f| f.part).sum();
-        let mut lot = self.rng.rand_float() * total;
+        let class = usize::from(self.rng.rand_float() >= SAFE);
+        let balancer = self.front(None);
+        let work = WORK[class].0 * noise(&mut self.rng, 0.5);
+        self.ask(balancer, class, work, self.now, 0);
+    }
+
+    /// The balancer that a front leads a client to, of this zone if it is one client's again.
+    fn front(&mut self, zone: Option<u32>) -> usize {
+        let part = |f: &Front| if zone.is_none_or(|zone| zone == f.zone) { f.part } else { 0.0 };
+        let mut lot = self.rng.rand_float() * self.fronts.iter().map(part).sum::<f64>();
         let last = self.fronts.len() - 1;
         let balancer = (0..last).find(|&b| {
-            lot -= self.fronts[b].part;
+            lot -= part(&self.fronts[b]);
             lot < 0.0
         });
-        let balancer = balancer.unwrap_or(last);
-        let class = usize::from(self.rng.rand_float() >= SAFE);
-        let spread = self.noise(0.5);
+        balancer.unwrap_or(last)
+    }
+
+    fn ask(&mut self, balancer: usize, class: usize, work: f64, first: Time, time: u32) {
         let id = self.asked.len();
         let drop_dead = self.now.plus(self.settings.classes[class].deadline);
         self.asked.push(Asked {
             balancer,
             class,
             arrived: self.now,
-            work: WORK[class].0 * spread,
+            work,
             wait: Span::of(WORK[class].1),
             attempts: Vec::new(),
-            runs: 0,
             end: None,
+            first,
+            time,
         });
         match self.chooser {
             Chooser::Sableloom => {
@@ -346,14 +363,6 @@
         }
     }
 
-    /// Log-normal with mean 1 and this coefficient of variation.
-    fn noise(&mut self, cv: f64) -> f64 {
-        let (a, b) = (self.rng.rand_float().max(1e-12), self.rng.rand_float());
-        let normal = (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos();
-        let var = (1.0 + cv * cv).ln();
-        (normal * var.sqrt() - var / 2.0).exp()
-    }
-
     /// For the baselines: sends the request on, or ends it.
     fn choose(&mut self, id: usize) {
         let asked = &self.asked[id];
@@ -383,12 +392,14 @@
         let zone = self.fronts[asked.balancer].zone;
         let mut best: Option<(usize, f64)> = None;
         for (i, p) in self.places.iter().enumerate() {
-            let seen = p.status == Status::Live && p.up && !self.cut_between(zone, p.zone);
-            if !seen || p.failing > 0.2 {
+            let there = p.up && p.node.phase() == Phase::Up;
+            let seen = p.status == Status::Live && there && !self.cut_between(zone, p.zone);
+            let fault = p.node.faulty(asked.class);
+            if !seen || fault.failing > 0.2 {
                 continue;
             }
-            let speed = p.server.shape().speed * self.share(now, p) / p.class_slower[asked.class];
-            let crowd = ((p.server.here() + 1) as f64 / p.server.shape().cores).max(1.0);
+            let speed = p.node.nature().shape.speed * p.node.present(now) / fault.slower;
+            let crowd = ((p.node.here() + 1) as f64 / p.node.nature().shape.cores).max(1.0);
             let takes = WORK[asked.class].0 * crowd / speed + asked.wait.f() + 2.0 * FAR;
             if best.is_none_or(|(_, t)| takes < t) {
                 best = Some((i, takes));
@@ -400,11 +411,13 @@
     fn send(&mut self, id: usize, server: usize, timeout: Span) {
         let attempt = self.attempts.len();
         let asked = &mut self.asked[id];
-        let (zone, index) = (self.fronts[asked.balancer].zone, asked.attempts.len());
+        let (balancer, index) = (asked.balancer, asked.attempts.len());
+        let zone = self.fronts[balancer].zone;
         asked.attempts.push(attempt);
         let place = &self.places[server];
-        let server_life = place.life;
-        let (up, there) = (place.up, place.zone);
+        let (server_life, there) = (place.life, place.zone);
+        let (up, fallen) = (place.up, place.node.phase() != Phase::Up);
+        let fresh = self.case.connections.is_some() && !self.reuse(balancer, server);
         self.attempts.push(Attempt {
             request: id,
             index,
@@ -412,18 +425,57 @@
             server_life,
             sent: self.now,
             ended: None,
-            began: false,
+            fresh,
         });
         self.tally.attempts += 1;
-        if up && !self.cut_between(zone, there) {
-            let way = self.way(zone, there);
-            self.after(way, Event::Reach(attempt));
-        } else {
+        self.tally.connections += usize::from(fresh);
+        let way = self.way(zone, there);
+        if !up || self.cut_between(zone, there) {
             self.after(CONNECT.f(), Event::Back { attempt, outcome: Outcome::ConnectFailed });
+        } else if fallen {
+            self.after(2.0 * way, Event::Back { attempt, outcome: Outcome::ConnectFailed });
+        } else {
+            // A new connection takes a way there and back before the request can go.
+            self.after(if fresh { 3.0 * way } else { way }, Event::Reach(attempt));
         }
         self.after(timeout.f(), Event::Expire(attempt));
     }
 
+    /// Takes a connection at rest, if there is one.
+    fn reuse(&mut self, balancer: usize, server: usize) -> bool {
+        let (life, now) = (self.places[server].life, self.now);
+        let Some((of, idle)) = self.idle.get_mut(&(balancer, server)) else { return false };
+        if *of != life {
+            idle.clear();
+        }
+        let before = idle.len();
+        idle.retain(|since| now.since(*since) < KEEPALIVE);
+        (idle.len()..before).for_each(|_| self.places[server].node.disconnect());
+        idle.pop().is_some()
+    }
+
+    /// A connection is done with: it rests, or has been closed.
+    fn let_go(&mut self, attempt: usize, answered: bool) {
+        if self.case.connections.is_none() {
+            return;
+        }
+        let Attempt { request, server, server_life, .. } = self.attempts[attempt];
+        if self.places[server].life != server_life {
+            return;
+        }
+        if answered {
+            let balancer = self.asked[request].balancer;
+            let (of, idle) = self.idle.entry((balancer, server)).or_default();
+            if *of != server_life {
+                idle.clear();
+            }
+            *of = server_life;
+            idle.push(self.now);
+        } else {
+            self.places[server].node.disconnect();
+        }
+    }
+
     fn cut_between(&self, a: u32, b: u32) -> bool {
         a != b && (self.cut.contains(&a) || self.cut.contains(&b))
     }
@@ -434,36 +486,43 @@
 
     // ------------------------------------------------------------ servers
 
-    /// Share of its speed that a server has: it warms evenly, and may be slower than built.
-    fn share(&self, now: Time, p: &Place) -> f64 {
-        self.present(now, p) / p.slower
-    }
-
-    fn present(&self, now: Time, p: &Place) -> f64 {
-        let rules = &self.settings.rules;
-        p.started.map_or(1.0, |started| {
-            let grown = now.since(started).f() / rules.cold.f();
-            (rules.cold_from + (1.0 - rules.cold_from) * grown).clamp(rules.cold_from, 1.0)
-        })
-    }
-
-    fn advance(&mut self, server: usize) {
-        let share = self.share(self.now, &self.places[server]);
-        self.places[server].server.advance(self.now, share);
-    }
-
-    /// Sets when this server is next looked at.
+    /// Sets when this server is next looked at, and sends its answers on their way.
     fn plan(&mut self, server: usize) {
         let place = &mut self.places[server];
         place.version += 1;
-        let version = place.version;
-        if let Some(at) = place.server.next() {
-            self.at(at, Event::Worked { server, version });
+        let (version, zone) = (place.version, place.zone);
+        if place.node.phase() == Phase::Fallen && place.up && self.fell.insert(server) {
+            place.life += 1;
+            self.tally.falls += 1;
+        }
+        if let Some(at) = self.places[server].node.next() {
+            self.at(at, Event::Node { server, version });
+        }
+        for Done { attempt, ending } in std::mem::take(&mut self.done) {
+            let attempt = attempt as usize;
+            let outcome = match ending {
+                Ending::Served => Outcome::Ok,
+                Ending::Error => Outcome::Error,
+                Ending::TurnedAway => Outcome::Full,
+                Ending::Spoilt | Ending::Cut | Ending::Reset => Outcome::Reset,
+            };
+            let there = self.fronts[self.asked[self.attempts[attempt].request].balancer].zone;
+            if outcome == Outcome::Reset {
+                self.after(NEAR, Event::Back { attempt, outcome });
+            } else if !self.cut_between(zone, there) {
+                let back = self.way(zone, there);
+                self.after(back, Event::Back { attempt, outcome });
+            }
         }
     }
 
+    fn node(&mut self, server: usize, what: impl FnOnce(&mut Node<usize>, Time, &mut Vec<Done>)) {
+        what(&mut self.places[server].node, self.now, &mut self.done);
+        self.plan(server);
+    }
+
     fn reach(&mut self, attempt: usize) {
-        let Attempt { request, server, server_life, .. } = self.attempts[attempt];
+        let Attempt { request, server, server_life, fresh, ended, .. } = self.attempts[attempt];
         let zone = self.fronts[self.asked[request].balancer].zone;
         let place = &self.places[server];
         if !place.up || place.life != server_life || self.cut_between(zone, place.zone) {
@@ -471,77 +530,48 @@
             let outcome = Outcome::Reset;
             return self.after(NEAR, Event::Back { attempt, outcome });
         }
-        let back = self.way(zone, self.places[server].zone);
-        if self.rng.rand_float() < self.places[server].failing {
-            self.asked[request].runs += 1;
-            return self.after(back, Event::Back { attempt, outcome: Outcome::Error });
+        if fresh {
+            let mut taken = false;
+            self.node(server, |node, now, out| taken = node.connect(now, out));
+            if !taken {
+                let back = self.way(zone, self.places[server].zone);
+                self.tally.shut_out += 1;
+                self.attempts[attempt].server_life = u32::MAX;
+                return self.after(back, Event::Back { attempt, outcome: Outcome::Full });
+            }
+            if ended.is_some() {
+                // Its balancer gave up before it was there.
+                return self.node(server, |node, _, _| node.disconnect());
+            }
         }
-        self.advance(server);
         let asked = &self.asked[request];
-        let work = asked.work * self.places[server].class_slower[asked.class] * self.noise(0.3);
-        if !self.places[server].server.offer(Job { id: attempt, work }) {
-            return self.after(back, Event::Back { attempt, outcome: Outcome::Full });
-        }
-        self.attempts[attempt].began = true;
-        self.asked[request].runs += 1;
-        self.weigh(server, work);
-        self.plan(server);
-    }
-
-    /// The rule on cold servers, as the bank as a whole keeps it.
-    fn weigh(&mut self, server: usize, work: f64) {
-        let place = &self.places[server];
-        let present = self.present(self.now, place);
-        if present >= 1.0 {
-            return;
-        }
-        let rules = &self.settings.rules;
-        let least = self.now.0 - rules.tip_after.0;
-        let bears = place.server.shape().capacity() * present * rules.tip_after.f();
-        let place = &mut self.places[server];
-        place.pushed.push((self.now, work));
-        place.pushed.retain(|(at, _)| at.0 > least);
-        let sum: f64 = place.pushed.iter().map(|p| p.1).sum();
-        self.tally.pushed = self.tally.pushed.max(sum / bears / rules.fall_multiple);
-    }
-
-    fn worked(&mut self, server: usize) {
-        self.advance(server);
-        while let Some(attempt) = self.places[server].server.worked() {
-            let (wait, life) =
-                (self.asked[self.attempts[attempt].request].wait, self.places[server].life);
-            self.after(wait.f(), Event::Waited { server, life, attempt });
-        }
-        self.plan(server);
-    }
-
-    fn waited(&mut self, server: usize, life: u32, attempt: usize) {
-        if self.places[server].life != life {
-            return;
-        }
-        self.advance(server);
-        self.places[server].server.release();
-        self.plan(server);
-        let zone = self.fronts[self.asked[self.attempts[attempt].request].balancer].zone;
-        if !self.cut_between(zone, self.places[server].zone) {
-            let back = self.way(zone, self.places[server].zone);
-            self.after(back, Event::Back { attempt, outcome: Outcome::Ok });
-        }
+        let (class, wait, work) = (asked.class, asked.wait, asked.work);
+        let work = work * noise(&mut self.rng, 0.3);
+        let ask = Ask {
+            id: request,
+            attempt: attempt as u64,
+            class,
+            work,
+            wait,
+            key: None,
+            effect: class == 1,
+            lot: self.rng.rand_float(),
+        };
+        self.node(server, |node, now, out| node.arrive(now, ask, out));
     }
 
     /// What a server held is gone, and so is whoever waited for it.
     fn fall(&mut self, server: usize) {
-        let now = self.now;
-        let place = &mut self.places[server];
-        place.life += 1;
-        place.version += 1;
-        place.server = Server::new(*place.server.shape(), now);
-        for attempt in 0..self.attempts.len() {
-            let a = &self.attempts[attempt];
-            if a.server == server && a.ended.is_none() && a.began {
-                self.after(NEAR, Event::Back { attempt, outcome: Outcome::Reset });
-            }
-        }
+        self.places[server].life += 1;
+        self.node(server, |node, now, out| node.stop(now, out));
+    }
+
+    /// A machine that takes its place, or comes back: cold.
+    fn rise(&mut self, server: usize) {
+        self.places[server].up = true;
+        self.places[server].started = Some(self.now);
+        self.fell.remove(&server);
+        self.node(server, |node, now, out| node.start(now, out));
     }
 
     // ------------------------------------------------------------ ends
@@ -552,12 +582,19 @@
             return;
         }
         a.ended = Some(outcome);
-        let Attempt { request, index, server, sent, .. } = *a;
+        let Attempt { request, index, server, server_life, sent, .. } = *a;
+        match outcome {
+            Outcome::Ok | Outcome::Error | Outcome::Full => self.let_go(attempt, true),
+            Outcome::Timeout | Outcome::Cancelled if self.places[server].life == server_life => {
+                self.leave(attempt)
+            }
+            _ => {}
+        }
         let asked = &self.asked[request];
         let over = asked.end.is_some();
         *self.tally.outcomes.entry(format!("{outcome:?}")).or_default() += 1;
         if outcome == Outcome::Ok && !over {
-            let in_time = self.now.since(asked.arrived) <= self.settings.classes[asked.class].aim;
+            let in_time = self.now.since(asked.first) <= self.settings.classes[asked.class].aim;
             self.finished(request, if in_time { End::Served } else { End::Late });
         }
         let asked = &self.asked[request];
@@ -579,6 +616,13 @@
         }
     }
 
+    /// A balancer has given an attempt up, and closed its connection.
+    fn leave(&mut self, attempt: usize) {
+        self.let_go(attempt, false);
+        let server = self.attempts[attempt].server;
+        self.node(server, |node, now, out| node.leave(now, attempt as u64, out));
+    }
+
     fn finished(&mut self, id: usize, end: End) {
         let asked = &mut self.asked[id];
         if asked.end.is_some() {
@@ -586,8 +630,18 @@
             return;
         }
         asked.end = Some(end);
-        let worth = self.settings.classes[asked.class].worth;
-        self.tally.count(asked.arrived, asked.class, worth, end);
+        let (class, first, time) = (asked.class, asked.first, asked.time);
+        let Clients { again, after_ms } = self.case.clients;
+        // A refusal promises that asking again is harmless; a failure does so only for what is safe.
+        let harmless = end == End::Refused || (end == End::Failed && class == 0);
+        if harmless && time < again {
+            let (least, most) = (after_ms.0 * MS, after_ms.1 * MS);
+            let wait = least as f64 + (most - least) as f64 * self.rng.rand_float();
+            self.after(wait, Event::Again(id));
+            return;
+        }
+        let worth = self.settings.classes[class].worth;
+        self.tally.count(first, class, worth, end);
     }
 
     fn tell(&mut self, balancer: usize, what: impl FnOnce(&mut Balancer, Time, &mut Vec<Action>)) {
@@ -617,7 +671,11 @@
                     let life = self.fronts[balancer].life;
                     self.at(at, Event::Timer { balancer, life, token });
                 }
-                Action::Cancel { .. } | Action::Probe { .. } | Action::Subscribe => {}
+                Action::Cancel { request, attempt } => {
+                    let attempt = self.asked[request.0 as usize].attempts[attempt];
+                    self.after(0.0, Event::Back { attempt, outcome: Outcome::Cancelled });
+                }
+                Action::Probe { .. } | Action::Subscribe => {}
             }
         }
     }
@@ -652,15 +710,15 @@
             }
             Change::Bad { first, step, failing, slower } => {
                 for i in (first..self.places.len()).step_by(step) {
-                    self.advance(i);
-                    (self.places[i].failing, self.places[i].slower) = (failing, slower);
-                    self.advance(i);
-                    self.plan(i);
+                    let fault = Fault { slower, failing, ..Fault::default() };
+                    (0..2).for_each(|class| self.places[i].node.fault(class, fault));
                 }
             }
             Change::KindSlow { kind, class, times } => {
-                let kind = |p: &&mut Place| p.kind == kind;
-                self.places.iter_mut().filter(kind).for_each(|p| p.class_slower[class] = times);
+                for place in self.places.iter_mut().filter(|p| p.kind == kind) {
+                    let fault = Fault { slower: times, ..place.node.faulty(class) };
+                    place.node.fault(class, fault);
+                }
             }
             Change::Kill { share } => {
                 let n = (self.fronts.len() as f64 * share) as usize;
@@ -696,12 +754,13 @@
                 self.publish();
             }
             Change::KindNew { from, kind, shape } => {
+                let nature = nature(&self.case, &self.settings, shape);
                 for i in from..self.places.len() {
                     self.fall(i);
                     self.places[i].kind = kind;
-                    self.places[i].server = Server::new(shape, self.now);
                     self.places[i].status = Status::Live;
-                    self.places[i].started = Some(self.now);
+                    self.node(i, |node, now, out| node.replace(nature, now, out));
+                    self.rise(i);
                 }
                 self.publish();
             }
@@ -713,10 +772,22 @@
             if self.asked[id].balancer == balancer && self.asked[id].end.is_none() {
                 self.finished(id, End::Failed);
                 for attempt in self.asked[id].attempts.clone() {
-                    self.attempts[attempt].ended.get_or_insert(Outcome::Moot);
+                    if self.attempts[attempt].ended.is_none() {
+                        self.attempts[attempt].ended = Some(Outcome::Moot);
+                        let Attempt { server, server_life, .. } = self.attempts[attempt];
+                        if self.places[server].life == server_life {
+                            self.leave(attempt);
+                        }
+                    }
                 }
             }
         }
+        for server in 0..self.places.len() {
+            let Some((life, idle)) = self.idle.remove(&(balancer, server)) else { continue };
+            if life == self.places[server].life {
+                idle.iter().for_each(|_| self.places[server].node.disconnect());
+            }
+        }
         self.fronts[balancer].life += 1;
         let list = self.fronts[balancer].told.clone();
         self.born(balancer, list);
@@ -725,9 +796,7 @@
     /// A machine that takes the place of another, cold.
     fn up(&mut self, i: usize) {
         self.fall(i);
-        self.places[i].up = true;
-        self.places[i].started = Some(self.now);
-        self.places[i].pushed.clear();
+        self.rise(i);
         self.publish();
     }
 
@@ -740,12 +809,17 @@
                 }
             }
             Event::Reach(attempt) => self.reach(attempt),
-            Event::Worked { server, version } => {
+            Event::Node { server, version } => {
                 if self.places[server].version == version {
-                    self.worked(server);
+                    self.node(server, |node, now, out| node.advance(now, out));
                 }
             }
-            Event::Waited { server, life, attempt } => self.waited(server, life, attempt),
+            Event::Again(id) => {
+                let Asked { balancer, class, work, first, time, .. } = self.asked[id];
+                let zone = self.fronts[balancer].zone;
+                let balancer = self.front(Some(zone));
+                self.ask(balancer, class, work, first, time + 1);
+            }
             Event::Back { attempt, outcome } => self.back(attempt, outcome),
             Event::Expire(attempt) => self.back(attempt, Outcome::Timeout),
             Event::Told { balancer, list } => {
@@ -761,9 +835,7 @@
             Event::Zone { zone, cut: false } => {
                 for i in 0..self.places.len() {
                     if self.places[i].zone == zone {
-                        self.places[i].up = true;
-                        self.places[i].started = Some(self.now);
-                        self.places[i].pushed.clear();
+                        self.rise(i);
                     }
                 }
                 self.publish();
@@ -776,29 +848,41 @@
             if asked.end.is_none() {
                 self.tally.broken.push(format!("request {id} has no answer"));
             }
-            if asked.class == 1 && asked.runs > 1 {
-                self.tally.broken.push(format!("unsafe request {id} ran {} times", asked.runs));
+        }
+        let mut runs: HashMap<usize, u32> = HashMap::new();
+        for place in &self.places {
+            let multiple = place.node.nature().multiple;
+            self.tally.pushed = self.tally.pushed.max(place.node.peak() / multiple);
+            for (id, times) in place.node.runs() {
+                *runs.entry(*id).or_default() += times;
             }
         }
+        let mut twice: Vec<_> = runs.into_iter().filter(|(_, times)| *times > 1).collect();
+        twice.sort_unstable();
+        let told = twice.iter().map(|(id, n)| format!("unsafe request {id} ran {n} times"));
+        self.tally.broken.extend(told);
         self.tally
     }
 }
 
-/// The kinds in their parts of the fleet: a quarter large, two fifths of medium size, the rest small.
-fn kind(case: &Case, i: usize) -> u32 {
-    if !case.kinds {
-        return 0;
-    }
-    match i % 20 {
-        0..5 => 0,
-        5..13 => 1,
-        _ => 2,
-    }
+fn shape(case: &Case, rng: &mut Rand64, i: usize) -> Shape {
+    // Where all are alike, they are of the middle kind.
+    KINDS[if case.kinds { kind(i) } else { 1 }].shape(rng.rand_float())
 }
 
-fn shape(case: &Case, rng: &mut Rand64, i: usize) -> Shape {
-    let (cores, speed) = [(3.0, 2.0), (3.0, 1.2), (2.0, 0.75)][kind(case, i) as usize];
-    let (cores, speed) = if case.kinds { (cores, speed) } else { (3.0, 1.2) };
-    let speed = speed * (0.85 + 0.3 * rng.rand_float());
-    Shape { cores, speed, slots: (cores * 12.0) as usize, room: (cores * 15.0) as usize }
+/// A node of the bank, with the rules that its balancers are told.
+fn nature(case: &Case, settings: &Settings, shape: Shape) -> Nature {
+    let rules = &settings.rules;
+    let plain = Nature::of(shape);
+    Nature {
+        connections: case.connections.unwrap_or(usize::MAX),
+        handshake: if case.connections.is_some() { plain.handshake } else { 0.0 },
+        cold_from: rules.cold_from,
+        warm: rules.cold,
+        multiple: rules.fall_multiple,
+        window: rules.tip_after,
+        keys: 0,
+        abandons: false,
+        ..plain
+    }
 }
--- a/crates/bank/src/server.rs
+++ b/crates/emulator/src/cores.rs
@@ -1,5 +1,5 @@
-//! A model server: some cores shared evenly by what holds a slot, a waiting room before them, and
-//! less to give while it is cold or crowded. No I/O, no clock.
+//! Some cores shared evenly by what holds a slot, and a waiting room before them. What they give may
+//! be any share of their speed.
 
 use std::cmp::Ordering;
 use std::collections::{BinaryHeap, VecDeque};
@@ -10,9 +10,11 @@
 const CROWDED: f64 = 13.0;
 /// Share of its speed that a core loses when twice as many are there.
 const CROWD_PRICE: f64 = 0.45;
+/// The furthest that is looked ahead, in microseconds: ten years. Past it a time would overflow.
+const FAR: f64 = 3e14;
 
-/// What a server is built of.
-#[derive(Clone, Copy, Debug)]
+/// What a node is built of.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Shape {
     /// Cores.
     pub cores: f64,
@@ -35,16 +37,27 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Job {
     /// The caller's handle.
-    pub id: usize,
+    pub id: u64,
     /// Microseconds of a core of speed 1.
     pub work: f64,
 }
 
+/// What came of an offer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It has a slot.
+    Started,
+    /// It waits for one.
+    Waits,
+    /// There is no room.
+    Full,
+}
+
 #[derive(Debug, PartialEq)]
 struct Running {
     /// Work that each slot must have been given for this one to be done.
     done_at: f64,
-    id: usize,
+    id: u64,
 }
 
 impl Eq for Running {}
@@ -62,9 +75,9 @@
     }
 }
 
-/// The state of one server.
+/// The cores of one node.
 #[derive(Debug)]
-pub struct Server {
+pub struct Cores {
     shape: Shape,
     running: BinaryHeap<Running>,
     waiting: VecDeque<Job>,
@@ -77,14 +90,14 @@
     share: f64,
 }
 
-impl Server {
-    /// An idle server at its full speed.
+impl Cores {
+    /// Idle cores at their full speed.
     pub fn new(shape: Shape, now: Time) -> Self {
         let (running, waiting) = (BinaryHeap::new(), VecDeque::new());
         Self { shape, running, waiting, held: 0, given: 0.0, at: now, share: 1.0 }
     }
 
-    /// What it is built of.
+    /// What they are built of.
     pub fn shape(&self) -> &Shape {
         &self.shape
     }
@@ -94,6 +107,21 @@
         self.held + self.waiting.len()
     }
 
+    /// Requests that wait for a slot.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether something is worked on.
+    pub fn busy(&self) -> bool {
+        !self.running.is_empty()
+    }
+
+    /// Up to when the work is reckoned.
+    pub fn at(&self) -> Time {
+        self.at
+    }
+
     /// Work that one request is given in a microsecond.
     fn rate(&self) -> f64 {
         let n = self.running.len().max(1) as f64;
@@ -109,42 +137,60 @@
         self.share = share;
     }
 
-    /// Takes a request in; false if there is no room for it.
-    pub fn offer(&mut self, job: Job) -> bool {
+    /// Lets time pass in which nothing is done.
+    pub fn skip(&mut self, now: Time) {
+        self.at = self.at.max(now);
+    }
+
+    /// Takes a request in.
+    pub fn offer(&mut self, job: Job) -> Offer {
         if self.held < self.shape.slots {
             self.start(job);
+            Offer::Started
         } else if self.waiting.len() < self.shape.room {
             self.waiting.push_back(job);
+            Offer::Waits
         } else {
-            return false;
+            Offer::Full
         }
-        true
+    }
+
+    /// Work that needs no slot, as a handshake.
+    pub fn charge(&mut self, job: Job) {
+        self.running.push(Running { done_at: self.given + job.work, id: job.id });
+    }
+
+    /// Takes one that waits out again; false if it does not wait.
+    pub fn withdraw(&mut self, id: u64) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|job| job.id != id);
+        self.waiting.len() < before
     }
 
     fn start(&mut self, job: Job) {
         self.held += 1;
-        self.running.push(Running { done_at: self.given + job.work, id: job.id });
+        self.charge(job);
     }
 
     /// When the next request has had its work, if all stays as it is.
     pub fn next(&self) -> Option<Time> {
         let left = (self.running.peek()?.done_at - self.given).max(0.0);
-        Some(self.at.plus(Span((left / self.rate()).ceil() as i64)))
+        Some(self.at.plus(Span((left / self.rate()).ceil().min(FAR) as i64)))
     }
 
-    /// A request that has had its work by now; it keeps its slot until [`Server::release`].
-    pub fn worked(&mut self) -> Option<usize> {
+    /// A request that has had its work by now; it keeps its slot until [`Cores::release`].
+    pub fn worked(&mut self) -> Option<u64> {
         // Half a microsecond of work is rounding.
         self.running.peek().filter(|r| r.done_at <= self.given + 0.5)?;
         self.running.pop().map(|r| r.id)
     }
 
-    /// A request has left its slot; the first that waits takes it.
-    pub fn release(&mut self) {
+    /// A request has left its slot; the first that waits takes it, and is returned.
+    pub fn release(&mut self) -> Option<u64> {
         self.held -= 1;
-        if let Some(job) = self.waiting.pop_front() {
-            self.start(job);
-        }
+        let job = self.waiting.pop_front()?;
+        self.start(job);
+        Some(job.id)
     }
 }
 
@@ -154,7 +200,7 @@
 
     const SHAPE: Shape = Shape { cores: 2.0, speed: 0.5, slots: 3, room: 1 };
 
-    fn run(server: &mut Server) -> Vec<(Time, usize)> {
+    fn run(server: &mut Cores) -> Vec<(Time, u64)> {
         let mut done = Vec::new();
         while let Some(at) = server.next() {
             server.advance(at, 1.0);
@@ -168,9 +214,9 @@
 
     #[test]
     fn cores_are_shared_evenly_and_the_waiting_go_last() {
-        let mut server = Server::new(SHAPE, Time(0));
-        assert!((0..4).all(|id| server.offer(Job { id, work: 1000.0 })));
-        assert!(!server.offer(Job { id: 4, work: 1000.0 }), "no room for a fifth");
+        let mut server = Cores::new(SHAPE, Time(0));
+        assert!((0..4).all(|id| server.offer(Job { id, work: 1000.0 }) != Offer::Full));
+        assert_eq!(server.offer(Job { id: 4, work: 1000.0 }), Offer::Full, "no room for a fifth");
         // Three share two cores at half speed: 3 ms each; the fourth has one alone for 2 ms.
         let done = run(&mut server);
         assert_eq!(done.iter().map(|d| d.1).collect::<Vec<_>>(), [0, 1, 2, 3]);
@@ -180,7 +226,7 @@
 
     #[test]
     fn a_cold_server_takes_as_many_times_longer() {
-        let mut server = Server::new(SHAPE, Time(0));
+        let mut server = Cores::new(SHAPE, Time(0));
         server.advance(Time(0), 0.25);
         server.offer(Job { id: 0, work: 1000.0 });
         assert_eq!(server.next(), Some(Time(8000)));
