Rehearse a fleet: real processes before emulated nodes, faults in a script, one verdict

The users ask what many processes do together when some fail, shown by tests that start several of them. sableloom rehearse SCRIPT.toml starts the balancers, emulated points nodes behind sockets, clients in an open loop and a relay for each pair of balancer and node; plays the script's faults; accounts for every request and rule; and says whether the script's expectations hold, or that the machine was not up to it. crates/rehearsal holds the script, the timeline and arrivals that a seed draws, links, account and verdict, with no I/O; crates/rig the processes, gates that refuse or are silent without privileges, relays, clients and reports; crates/standin's node is the emulated one from now on.

--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -167,6 +167,7 @@
     peak: f64,
     falls: u32,
     turned_away: u64,
+    sent: f64,
     /// Outlives the node's crash.
     runs: FxHashMap<I, u32>,
 }
@@ -192,6 +193,7 @@
             peak: 0.0,
             falls: 0,
             turned_away: 0,
+            sent: 0.0,
             runs: FxHashMap::default(),
         }
     }
@@ -243,6 +245,11 @@
         self.turned_away
     }
 
+    /// Work that it was sent in all, in microseconds of a core of speed 1.
+    pub fn sent(&self) -> f64 {
+        self.sent
+    }
+
     /// Connections that it holds.
     pub fn connections(&self) -> usize {
         self.connections
@@ -390,6 +397,7 @@
         {
             work *= 1.0 - key_saving;
         }
+        self.sent += work;
         let offer = self.cores.offer(Job { id: attempt, work });
         if offer == Offer::Full {
             self.turned_away += 1;
--- /dev/null
+++ b/crates/rehearsal/src/account.rs
@@ -0,0 +1,513 @@
+//! What happened, from the facts that were seen: how each request ended, and every breach of a rule.
+
+use std::collections::HashMap;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::script::{Effect, MS, S, Script};
+use crate::timeline::Timeline;
+
+/// What a client saw of one try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// 200, with the answer to this request.
+    Served,
+    /// 200, with anything else.
+    Wrong,
+    /// 429 or 503.
+    Refused,
+    /// Any other status.
+    Failed,
+    /// The connection ended with no whole answer.
+    Broken,
+    /// No connection came up.
+    Unreached,
+    /// Nothing, for far longer than the request had.
+    Silent,
+    /// The client did not wait for it.
+    Left,
+}
+
+/// One try of a client. Times in microseconds from the first arrival.
+#[derive(Clone, Debug)]
+pub struct Try {
+    /// The id that it bore; each try has its own.
+    pub id: String,
+    /// The arrival that it belongs to, by number.
+    pub arrival: usize,
+    /// At which balancer.
+    pub balancer: usize,
+    /// When it was sent.
+    pub sent: i64,
+    /// When the last byte of its answer came, or it was over otherwise.
+    pub ended: i64,
+    /// What came.
+    pub answer: Answer,
+}
+
+/// A time in which a balancer could not answer: killed until it listened again, or stopped.
+#[derive(Clone, Copy, Debug)]
+pub struct Outage {
+    /// Which.
+    pub balancer: usize,
+    /// From when.
+    pub from: i64,
+    /// To when.
+    pub to: i64,
+}
+
+/// An attempt that came to a node.
+#[derive(Clone, Debug)]
+pub struct Arrived {
+    /// The id of the try.
+    pub id: String,
+    /// The node.
+    pub node: usize,
+    /// The balancer that sent it.
+    pub from: usize,
+    /// When its last byte left the balancer.
+    pub at: i64,
+}
+
+/// A time in which a balancer's list said that a node drains or is gone.
+#[derive(Clone, Copy, Debug)]
+pub struct Drain {
+    /// The balancer.
+    pub balancer: usize,
+    /// The node.
+    pub node: usize,
+    /// From when, its grace included.
+    pub from: i64,
+    /// To when.
+    pub to: i64,
+}
+
+/// What a node was sent at one time.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeRow {
+    /// When.
+    pub at: i64,
+    /// Work that it was sent since the row before, over what it could do then.
+    pub sent: f64,
+    /// Share of its capacity that it had.
+    pub present: f64,
+    /// Requests that were there.
+    pub here: usize,
+    /// Whether it was up.
+    pub up: bool,
+}
+
+/// All that was seen.
+#[derive(Clone, Debug, Default)]
+pub struct Facts {
+    /// By arrival: its moment, class and zone.
+    pub arrivals: Vec<(i64, usize, usize)>,
+    /// In the order in which they ended.
+    pub tries: Vec<Try>,
+    /// Of the balancers.
+    pub outages: Vec<Outage>,
+    /// At the nodes.
+    pub arrived: Vec<Arrived>,
+    /// Of the lists.
+    pub drains: Vec<Drain>,
+    /// How often each try with an effect ran, over all nodes.
+    pub runs: HashMap<String, u32>,
+    /// Of each node, over time.
+    pub nodes: Vec<Vec<NodeRow>>,
+    /// The most that each node was sent while cold, in multiples of its capacity then.
+    pub peaks: Vec<f64>,
+    /// How often each fell over.
+    pub falls: Vec<u32>,
+    /// Balancers that ended unasked: which, when, and how.
+    pub crashes: Vec<(usize, i64, String)>,
+}
+
+/// How an arrival ended, over all its tries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served within its aim, counted from its first moment.
+    Served,
+    /// Served later.
+    Late,
+    /// Refused.
+    Refused,
+    /// Failed.
+    Failed,
+    /// Met by a balancer's end or stop.
+    Caught,
+    /// It found no balancer.
+    Unreached,
+    /// Its client left.
+    Left,
+    /// No answer in its time from a balancer that ran.
+    Lost,
+}
+
+/// Arrivals by how they ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    /// All.
+    pub asked: u64,
+    /// In time.
+    pub served: u64,
+    /// Too late.
+    pub late: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Caught by an end or stop.
+    pub caught: u64,
+    /// Found no balancer.
+    pub unreached: u64,
+    /// Left early.
+    pub left: u64,
+    /// Lost.
+    pub lost: u64,
+}
+
+impl Count {
+    fn add(&mut self, end: End) {
+        self.asked += 1;
+        *match end {
+            End::Served => &mut self.served,
+            End::Late => &mut self.late,
+            End::Refused => &mut self.refused,
+            End::Failed => &mut self.failed,
+            End::Caught => &mut self.caught,
+            End::Unreached => &mut self.unreached,
+            End::Left => &mut self.left,
+            End::Lost => &mut self.lost,
+        } += 1;
+    }
+
+    /// Adds another.
+    pub fn sum(&mut self, other: &Count) {
+        let pairs = [
+            (&mut self.asked, other.asked),
+            (&mut self.served, other.served),
+            (&mut self.late, other.late),
+            (&mut self.refused, other.refused),
+            (&mut self.failed, other.failed),
+            (&mut self.caught, other.caught),
+            (&mut self.unreached, other.unreached),
+            (&mut self.left, other.left),
+            (&mut self.lost, other.lost),
+        ];
+        pairs.into_iter().for_each(|(to, n)| *to += n);
+    }
+
+    /// Share served in time; 1 if nothing was asked.
+    pub fn served_share(&self) -> f64 {
+        self.share(self.served, 1.0)
+    }
+
+    /// Share refused.
+    pub fn refused_share(&self) -> f64 {
+        self.share(self.refused, 0.0)
+    }
+
+    fn share(&self, of: u64, none: f64) -> f64 {
+        if self.asked == 0 { none } else { of as f64 / self.asked as f64 }
+    }
+}
+
+/// Breaches of the rules, each with its first few cases in words.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Breaches {
+    /// No answer in its time.
+    pub lost: u64,
+    /// Ran more than once.
+    pub doubled: u64,
+    /// Refused, though it had run.
+    pub refused_ran: u64,
+    /// Sent on after its answer.
+    pub after_end: u64,
+    /// Sent to a draining node.
+    pub drained: u64,
+    /// An answer that no node made.
+    pub invented: u64,
+    /// The first cases.
+    pub cases: Vec<String>,
+}
+
+/// Most cases that are told in words.
+const CASES: usize = 20;
+
+impl Breaches {
+    fn note(&mut self, which: impl FnOnce(&mut Self) -> &mut u64, case: impl FnOnce() -> String) {
+        *which(self) += 1;
+        if self.cases.len() < CASES {
+            self.cases.push(case());
+        }
+    }
+}
+
+/// One part of the time, or one balancer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// Its name.
+    pub name: String,
+    /// From when, in microseconds.
+    pub from: i64,
+    /// To when.
+    pub to: i64,
+    /// By class.
+    pub classes: Vec<Count>,
+    /// The median and the 99th hundredth of the times of those served, late ones included.
+    pub times: Option<(i64, i64)>,
+}
+
+impl Row {
+    /// All classes.
+    pub fn all(&self) -> Count {
+        let mut all = Count::default();
+        self.classes.iter().for_each(|c| all.sum(c));
+        all
+    }
+}
+
+/// The account of one run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Account {
+    /// The script's name.
+    pub script: String,
+    /// The seed.
+    pub seed: u64,
+    /// The classes' names.
+    pub classes: Vec<String>,
+    /// By second of the first moment.
+    pub seconds: Vec<Row>,
+    /// The script's phases, and the whole at the end.
+    pub phases: Vec<Row>,
+    /// By balancer of the last try.
+    pub balancers: Vec<Row>,
+    /// Of each node, over time.
+    pub nodes: Vec<Vec<NodeRow>>,
+    /// The most that a cold node was sent, in multiples of its capacity then.
+    pub cold_peak: f64,
+    /// How often nodes fell over.
+    pub falls: u64,
+    /// Balancers that ended unasked, in words.
+    pub crashes: Vec<String>,
+    /// What was done: when, what, and whether it ended something.
+    pub deeds: Vec<(i64, String, bool)>,
+    /// After the last fault, service was back after so long; `None` if it never was.
+    pub back_after: Option<i64>,
+    /// What that is measured by: the share served before the first fault.
+    pub before: Option<f64>,
+    /// Tries of clients for each arrival.
+    pub tries: f64,
+    /// Attempts at nodes for each arrival.
+    pub attempts: f64,
+    /// The rules.
+    pub breaches: Breaches,
+}
+
+impl Account {
+    /// The whole.
+    pub fn whole(&self) -> Count {
+        self.phases.last().map(Row::all).unwrap_or_default()
+    }
+}
+
+/// Windows in which service has to be back.
+const WINDOW: i64 = S / 2;
+/// So many of them in a row: a single good one may be chance.
+const WINDOWS: usize = 2;
+
+/// Whether a balancer's outage overlaps a time.
+fn caught(script: &Script, facts: &Facts, balancer: usize, from: i64, to: i64) -> bool {
+    let slack = script.machine.slack;
+    let meets = |o: &&Outage| {
+        o.balancer == balancer && o.from <= to.saturating_add(slack) && o.to >= from - slack
+    };
+    facts.outages.iter().any(|o| meets(&o))
+}
+
+/// How a try ended, for its client.
+fn end_of(script: &Script, facts: &Facts, one: &Try) -> End {
+    let (moment, class, _) = facts.arrivals[one.arrival];
+    let class = &script.classes[class];
+    let out = caught(script, facts, one.balancer, one.sent, one.ended);
+    let overdue = one.ended - one.sent > class.deadline + script.machine.slack;
+    match one.answer {
+        Answer::Left => End::Left,
+        Answer::Unreached => End::Unreached,
+        Answer::Broken | Answer::Silent if out => End::Caught,
+        Answer::Broken | Answer::Silent => End::Lost,
+        _ if overdue && !out => End::Lost,
+        _ if overdue => End::Caught,
+        Answer::Served if one.ended - moment <= class.aim => End::Served,
+        Answer::Served => End::Late,
+        Answer::Refused => End::Refused,
+        Answer::Failed | Answer::Wrong => End::Failed,
+    }
+}
+
+fn breaches(script: &Script, facts: &Facts, ends: &[End]) -> Breaches {
+    let mut breaches = Breaches::default();
+    let slack = script.machine.slack;
+    let mut by_id: HashMap<&str, &Try> = HashMap::with_capacity(facts.tries.len());
+    for (one, end) in facts.tries.iter().zip(ends) {
+        by_id.insert(&one.id, one);
+        let class = &script.classes[facts.arrivals[one.arrival].1];
+        let effect = class.effect == Effect::Unsafe;
+        let told = || {
+            let (sent, ended) = (one.sent as f64 / 1e6, one.ended as f64 / 1e6);
+            let (name, b) = (&class.name, one.balancer + 1);
+            format!("{name} {} at b{b}, {sent:.3} to {ended:.3} s", one.id)
+        };
+        let ran = facts.runs.get(&one.id).copied().unwrap_or(0);
+        if *end == End::Lost {
+            breaches.note(|b| &mut b.lost, || format!("lost: {}: {:?}", told(), one.answer));
+        }
+        if effect && ran > 1 {
+            breaches.note(|b| &mut b.doubled, || format!("doubled: {} ran {ran} times", told()));
+        }
+        if effect && ran > 0 && one.answer == Answer::Refused {
+            breaches.note(|b| &mut b.refused_ran, || format!("refused and ran: {}", told()));
+        }
+        let made_up = one.answer == Answer::Wrong || (one.answer == Answer::Served && effect && ran == 0);
+        if made_up {
+            breaches.note(|b| &mut b.invented, || format!("answer of no node: {}", told()));
+        }
+    }
+    for arrived in &facts.arrived {
+        let place = || {
+            let Arrived { id, node, from, at } = arrived;
+            format!("{id} from b{} at n{}, {:.3} s", from + 1, node + 1, *at as f64 / 1e6)
+        };
+        if let Some(one) = by_id.get(arrived.id.as_str()) {
+            let answered = matches!(
+                one.answer,
+                Answer::Served | Answer::Wrong | Answer::Refused | Answer::Failed
+            );
+            if answered && arrived.at > one.ended + slack {
+                let case = || format!("sent on after its answer: {}", place());
+                breaches.note(|b| &mut b.after_end, case);
+            }
+        }
+        let drains = |d: &Drain| {
+            (d.balancer, d.node) == (arrived.from, arrived.node)
+                && arrived.at > d.from + slack
+                && arrived.at < d.to
+        };
+        if facts.drains.iter().any(drains) {
+            breaches.note(|b| &mut b.drained, || format!("sent to a draining node: {}", place()));
+        }
+    }
+    breaches
+}
+
+/// The account of a run from what was seen.
+pub fn account(script: &Script, timeline: &Timeline, seed: u64, facts: &Facts) -> Account {
+    let ends: Vec<End> = facts.tries.iter().map(|one| end_of(script, facts, one)).collect();
+    // The last try tells how an arrival ended, but one that was served stays served, and one that was
+    // lost stays lost.
+    let mut last: Vec<Option<usize>> = vec![None; facts.arrivals.len()];
+    for (i, one) in facts.tries.iter().enumerate() {
+        let firm = |end: End| matches!(end, End::Served | End::Lost);
+        let place = &mut last[one.arrival];
+        if place.is_none_or(|before| !firm(ends[before])) {
+            *place = Some(i);
+        }
+    }
+    let blank = |name: String, from, to| Row {
+        name,
+        from,
+        to,
+        classes: vec![Count::default(); script.classes.len()],
+        times: None,
+    };
+    let count = |row: &mut Row, arrivals: &mut dyn Iterator<Item = usize>| {
+        let mut times = Histogram::<u64>::new(3).ok();
+        for arrival in arrivals {
+            let (moment, class, _) = facts.arrivals[arrival];
+            // No try at all: there was no balancer to ask.
+            let end = last[arrival].map_or(End::Unreached, |i| ends[i]);
+            row.classes[class].add(end);
+            let one = last[arrival].map(|i| &facts.tries[i]);
+            if let (End::Served | End::Late, Some(one), Some(times)) = (end, one, &mut times) {
+                // It grows as it has to: no time is out of its bounds.
+                let _ = times.record((one.ended - moment).max(1) as u64);
+            }
+        }
+        let times = times.filter(|t| !t.is_empty());
+        row.times =
+            times.map(|t| (t.value_at_quantile(0.5) as i64, t.value_at_quantile(0.99) as i64));
+    };
+    // They are in the order of their moments.
+    let before_moment = |at: i64| facts.arrivals.partition_point(|a| a.0 < at);
+    let span = |name: String, from: i64, to: i64| {
+        let mut row = blank(name, from, to);
+        count(&mut row, &mut (before_moment(from)..before_moment(to)));
+        row
+    };
+    let seconds = (script.length + S - 1) / S;
+    let by_second = (0..seconds).map(|s| span(format!("{s}"), s * S, (s + 1) * S)).collect();
+    let mut phases: Vec<Row> =
+        script.phases.iter().map(|p| span(p.name.clone(), p.from, p.to)).collect();
+    phases.push(span("whole".to_string(), 0, i64::MAX));
+    let mut of_balancer = vec![Vec::new(); script.fleet.balancers];
+    for (arrival, last) in last.iter().enumerate() {
+        if let Some(i) = *last {
+            of_balancer[facts.tries[i].balancer].push(arrival);
+        }
+    }
+    let balancers = of_balancer.into_iter().enumerate().map(|(b, arrivals)| {
+        let mut row = blank(format!("b{}", b + 1), 0, script.length);
+        count(&mut row, &mut arrivals.into_iter());
+        row
+    });
+    let balancers = balancers.collect();
+    let (mut before, mut back_after) = (None, None);
+    if let Some((first, end)) = timeline.faults() {
+        let share = |from: i64, to: i64| span(String::new(), from, to).all().served_share();
+        // The first second warms connections up.
+        let from = if first >= 2 * S { S } else { 0 };
+        before = (first > from).then(|| share(from, first));
+        if let Some(before) = before {
+            let mut good = 0;
+            let mut at = end;
+            while at + WINDOW <= script.length {
+                let back = share(at, at + WINDOW) >= script.expect.back_to * before;
+                good = if back { good + 1 } else { 0 };
+                if good == WINDOWS {
+                    back_after = Some(at + WINDOW - end - WINDOWS as i64 * WINDOW);
+                    break;
+                }
+                at += WINDOW;
+            }
+        }
+    }
+    let asked = facts.arrivals.len().max(1) as f64;
+    Account {
+        script: script.name.clone(),
+        seed,
+        classes: script.classes.iter().map(|c| c.name.clone()).collect(),
+        seconds: by_second,
+        phases,
+        balancers,
+        nodes: facts.nodes.clone(),
+        cold_peak: facts.peaks.iter().copied().fold(0.0, f64::max),
+        falls: facts.falls.iter().map(|n| u64::from(*n)).sum(),
+        crashes: facts
+            .crashes
+            .iter()
+            .map(|(b, at, how)| format!("b{} at {:.3} s: {how}", b + 1, *at as f64 / 1e6))
+            .collect(),
+        deeds: timeline.steps.iter().map(|s| (s.at, s.act.to_string(), s.ends)).collect(),
+        back_after,
+        before,
+        tries: facts.tries.len() as f64 / asked,
+        attempts: facts.arrived.len() as f64 / asked,
+        breaches: breaches(script, facts, &ends),
+    }
+}
+
+/// For people: milliseconds.
+pub(crate) fn ms(us: i64) -> f64 {
+    us as f64 / MS as f64
+}
--- /dev/null
+++ b/crates/rig/src/site.rs
@@ -0,0 +1,261 @@
+//! The files of one balancer: its site, its list of servers, its state, each in a folder of its own.
+
+use std::fmt::Write as _;
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
+
+use jiff::Timestamp;
+use sableloom_rehearsal::{Effect, Keep, Script};
+
+/// How long after it was told of a drain a balancer may still send to the node.
+pub const DRAIN: Duration = Duration::from_millis(1000);
+
+/// A node, as a list names it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// Its name.
+    pub name: String,
+    /// Where this balancer finds it.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Option<String>,
+    /// When it last started, if that matters.
+    pub started: Option<SystemTime>,
+    /// Whether it drains.
+    pub drains: bool,
+}
+
+/// A folder.
+#[derive(Clone, Debug)]
+pub struct Folder(PathBuf);
+
+fn milliseconds(us: i64) -> f64 {
+    us as f64 / 1000.0
+}
+
+/// A text in quotes, as TOML has it.
+fn quoted(text: &str) -> String {
+    // JSON's strings are TOML's basic strings.
+    serde_json::Value::from(text).to_string()
+}
+
+impl Folder {
+    /// Makes it, empty.
+    pub fn new(path: PathBuf) -> io::Result<Self> {
+        match fs::remove_dir_all(&path) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+            _ => {}
+        }
+        fs::create_dir_all(path.join("state"))?;
+        Ok(Self(path))
+    }
+
+    /// A file in it.
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.0.join(name)
+    }
+
+    /// Replaces a file by another that is renamed to it.
+    fn replace(&self, name: &str, text: &str) -> io::Result<()> {
+        let new = self.path(&format!(".{name}.new"));
+        fs::write(&new, text)?;
+        fs::rename(new, self.path(name))
+    }
+
+    /// The site's file.
+    pub fn site(
+        &self,
+        script: &Script,
+        balancer: usize,
+        address: SocketAddr,
+        says: usize,
+    ) -> io::Result<()> {
+        let mut text = String::new();
+        let fleet = &script.fleet;
+        let _ = writeln!(text, "[limits]\nsockets = {}\nmemory_mb = {}\n", fleet.sockets, fleet.memory_mb);
+        let _ = writeln!(text, "[locality]\nbalancers = {says}");
+        if let Some(zone) = fleet.zones.get(script.zone(balancer)) {
+            let zones: Vec<_> = fleet.zones.iter().map(|zone| quoted(zone)).collect();
+            let _ = writeln!(text, "zones = [{}]\nzone = {}", zones.join(", "), quoted(zone));
+        }
+        let _ = writeln!(text, "\n[[listener]]\naddress = \"{address}\"\n");
+        for class in &script.classes {
+            let (effect, methods) = match class.effect {
+                Effect::Safe => ("safe", "GET"),
+                Effect::Unsafe => ("unsafe", "POST"),
+            };
+            let (aim, deadline) = (milliseconds(class.aim), milliseconds(class.deadline));
+            let _ = writeln!(
+                text,
+                "[[class]]\nname = {}\naim_ms = {aim}\ndeadline_ms = {deadline}\n\
+                 effect = \"{effect}\"\nmethods = [\"{methods}\"]\nworth = {}\n",
+                quoted(&class.name),
+                class.worth,
+            );
+        }
+        let nature = &script.nodes.natures[0];
+        let drain = DRAIN.as_millis();
+        let _ = writeln!(
+            text,
+            "[[pool]]\nname = \"points\"\nfiles = [\"servers.toml\"]\nout_at_most = 1.0\n\
+             drain_ms = {drain}\nreread_ms = 1000\n\n[pool.cold]\nfrom = {}\ntime_ms = {}\n\
+             multiple = {}\nwindow_ms = {}\n\n[[route]]\nname = \"points\"\npath.prefix = [\"/\"]\n\
+             pool = \"points\"",
+            nature.cold_from.max(0.01),
+            milliseconds(nature.warm.0).min(3_600_000.0),
+            nature.multiple.clamp(1.0, 100.0),
+            milliseconds(nature.window.0).max(1.0),
+        );
+        self.replace("site.toml", &text)
+    }
+
+    /// A site's file that breaks off.
+    pub fn spoil_site(&self) -> io::Result<()> {
+        self.replace("site.toml", "[limits]\nsockets = \"many\n[[listener]]\n")
+    }
+
+    /// The list; only half of it, without its end, if that is meant.
+    pub fn list(&self, nodes: &[Listed], clock_us: i64, half: bool) -> io::Result<()> {
+        let mut text = String::from("pool = \"points\"\n");
+        for node in nodes {
+            let _ = write!(text, "\n[[server]]\nid = {}\naddress = \"{}\"\n", quoted(&node.name), node.address);
+            if let Some(zone) = &node.zone {
+                let _ = writeln!(text, "zone = {}", quoted(zone));
+            }
+            if let Some(started) = node.started {
+                let micros = started.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+                let at = micros.as_micros() as i64 + clock_us;
+                let at = Timestamp::from_microsecond(at).unwrap_or(Timestamp::UNIX_EPOCH);
+                let _ = writeln!(text, "started = {at}");
+            }
+            if node.drains {
+                text.push_str("state = \"draining\"\n");
+            }
+        }
+        let _ = write!(text, "\n[end]\nservers = {}\n", nodes.len());
+        if half {
+            // What a copy that was interrupted leaves: written in place, its end missing.
+            text.truncate(text.len() / 2);
+            return fs::write(self.path("servers.toml"), text);
+        }
+        self.replace("servers.toml", &text)
+    }
+
+    /// Keeps a copy of the state, as it is, for a later loss of power to go back to.
+    pub fn sync(&self) -> io::Result<()> {
+        let copy = self.path("state.before");
+        if copy.exists() {
+            fs::remove_dir_all(&copy)?;
+        }
+        copy_folder(&self.path("state"), &copy)
+    }
+
+    /// A loss of power takes what was not synced.
+    pub fn lose(&self, keep: Keep) -> io::Result<()> {
+        let state = self.path("state");
+        match keep {
+            Keep::All => Ok(()),
+            Keep::Torn | Keep::NewestMissing => {
+                let Some(newest) = newest(&state)? else { return Ok(()) };
+                if keep == Keep::NewestMissing {
+                    return fs::remove_file(newest);
+                }
+                let file = fs::File::options().write(true).open(newest)?;
+                file.set_len(file.metadata()?.len() / 2)
+            }
+            Keep::Empty | Keep::Reverted => {
+                fs::remove_dir_all(&state)?;
+                let before = self.path("state.before");
+                if keep == Keep::Reverted && before.exists() {
+                    return copy_folder(&before, &state);
+                }
+                fs::create_dir_all(&state)
+            }
+        }
+    }
+}
+
+fn copy_folder(from: &Path, to: &Path) -> io::Result<()> {
+    fs::create_dir_all(to)?;
+    for entry in fs::read_dir(from)? {
+        let entry = entry?;
+        let target = to.join(entry.file_name());
+        if entry.file_type()?.is_dir() {
+            copy_folder(&entry.path(), &target)?;
+        } else {
+            fs::copy(entry.path(), target)?;
+        }
+    }
+    Ok(())
+}
+
+/// The file that was written last; of several the last by name.
+fn newest(folder: &Path) -> io::Result<Option<PathBuf>> {
+    let mut files = Vec::new();
+    for entry in fs::read_dir(folder)? {
+        let entry = entry?;
+        if entry.file_type()?.is_file() {
+            files.push((entry.metadata()?.modified()?, entry.path()));
+        }
+    }
+    Ok(files.into_iter().max().map(|(_, path)| path))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn folder(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("sableloom-rig-{}-{name}", std::process::id()));
+        Folder::new(path).expect("a folder")
+    }
+
+    fn held(folder: &Folder) -> Vec<(String, String)> {
+        let mut all: Vec<_> = fs::read_dir(folder.path("state"))
+            .expect("a folder")
+            .map(|e| e.expect("an entry"))
+            .map(|e| {
+                let text = fs::read_to_string(e.path()).expect("a text");
+                (e.file_name().to_string_lossy().into_owned(), text)
+            })
+            .collect();
+        all.sort();
+        all
+    }
+
+    #[test]
+    fn a_loss_of_power_takes_what_it_is_said_to_take() {
+        let texts = |pairs: &[(&str, &str)]| -> Vec<(String, String)> {
+            pairs.iter().map(|(n, t)| (n.to_string(), t.to_string())).collect()
+        };
+        for (keep, left) in [
+            (Keep::All, texts(&[("1", "old"), ("2", "newer!")])),
+            (Keep::Torn, texts(&[("1", "old"), ("2", "new")])),
+            (Keep::NewestMissing, texts(&[("1", "old")])),
+            (Keep::Reverted, texts(&[("1", "ol")])),
+            (Keep::Empty, texts(&[])),
+        ] {
+            let folder = folder(&format!("{keep:?}"));
+            let write = |name: &str, text: &str, age: u64| {
+                let path = folder.path("state").join(name);
+                fs::write(&path, text).expect("written");
+                let file = fs::File::options().write(true).open(path).expect("there");
+                let at = SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000 - age);
+                file.set_modified(at).expect("dated");
+            };
+            write("1", "ol", 10);
+            folder.sync().expect("synced");
+            write("1", "old", 5);
+            write("2", "newer!", 1);
+            folder.lose(keep).expect("lost");
+            assert_eq!(held(&folder), left, "{keep:?}");
+            // An empty state has nothing to lose.
+            folder.lose(Keep::Empty).expect("lost");
+            folder.lose(keep).expect("nothing to lose");
+            let _ = fs::remove_dir_all(&folder.0);
+        }
+    }
+}
--- a/crates/sableloom/src/demo.rs
+++ b/crates/sableloom/src/demo.rs
@@ -14,7 +14,8 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use oorandom::Rand64;
-use sableloom_standin::{Node, Options as NodeOptions, agent};
+use sableloom_emulator::{Nature, Shape};
+use sableloom_standin::{Class, Node, Options as NodeOptions, agent};
 use serde_json::json;
 use tokio::net::TcpStream;
 use tokio::signal::unix::{SignalKind, signal};
@@ -65,12 +66,18 @@
     let nodes: Vec<(String, Node)> = (1u64..=3)
         .map(|n| {
             let name = format!("node-{n}");
+            let class = |name: &str, work_ms: f64, effect| Class {
+                name: name.to_string(),
+                work: work_ms * 1e3,
+                spread: 1.0,
+                wait: Duration::ZERO,
+                effect,
+            };
+            let shape = Shape { cores: 2.0, speed: 1.0, slots: 2, room: 16 };
             let node = Node::start(NodeOptions {
                 name: name.clone(),
-                cores: 2,
-                queue: 16,
-                read: Duration::from_millis(8),
-                write: Duration::from_millis(15),
+                nature: Nature { handshake: 0.0, keys: 0, ..Nature::of(shape) },
+                classes: vec![class("balance", 8.0, false), class("redeem", 15.0, true)],
                 seed: n,
             });
             node.map(|node| (name, node)).map_err(|e| format!("a stand-in node: {e}"))
--- a/crates/sableloom/src/main.rs
+++ b/crates/sableloom/src/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod demo;
 mod platform;
+mod rehearse;
 mod serve;
 mod shadow;
 
@@ -37,6 +38,13 @@
     Route(check::RouteOptions),
     /// Tells what came of the copies that shadows sent to a candidate
     Shadow(shadow::Options),
+    /// Rehearses a fleet: starts balancers, points nodes and clients as a script says, does what it says
+    /// to them, and judges what came of it. Ends with 0 if all holds that the script expects, 1 if not,
+    /// 2 if it can't be played, 3 if this machine could not carry it
+    Rehearse(rehearse::Options),
+    /// Runs a program that ends with the process that started it
+    #[command(hide = true)]
+    Under(rehearse::UnderOptions),
 }
 
 fn main() -> ExitCode {
@@ -54,6 +62,8 @@
             Some(Command::Check(options)) => check::check(&options),
             Some(Command::Route(options)) => check::route(&options),
             Some(Command::Shadow(options)) => return shadow::run(options),
+            Some(Command::Rehearse(options)) => return Ok(rehearse::run(options).await),
+            Some(Command::Under(options)) => rehearse::under(options),
         }
         .map(|()| ExitCode::SUCCESS)
     };
--- /dev/null
+++ b/crates/sableloom/src/rehearse.rs
@@ -0,0 +1,148 @@
+//! `sableloom rehearse`: a fleet of real processes, the faults between them in a script, one verdict.
+
+use std::collections::HashMap;
+use std::ffi::OsString;
+use std::io::IsTerminal;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use sableloom_checked::Problem;
+use sableloom_rehearsal::{Script, timeline};
+use sableloom_rig::{Options as Play, Report, Under, beside, compared, page, play, table};
+use sableloom_serverfiles::bytes_of;
+
+/// What to rehearse.
+#[derive(clap::Args)]
+pub struct Options {
+    /// The script, in TOML
+    script: PathBuf,
+    /// What all that is left to chance is drawn from
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Where the files and logs of all processes and the report go; emptied of an earlier run's
+    #[arg(long, value_name = "DIR")]
+    out: Option<PathBuf>,
+    /// A program that the script names, as old=PATH; may be given more than once
+    #[arg(long, value_name = "NAME=PATH")]
+    binary: Vec<String>,
+    /// The program to run as a balancer where the script names none; this one without
+    #[arg(long, value_name = "PATH")]
+    program: Option<PathBuf>,
+    /// The folder of an earlier run to compare this one with
+    #[arg(long, value_name = "DIR")]
+    beside: Option<PathBuf>,
+    /// Threads of clients
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=64))]
+    threads: u16,
+    /// Only print what would be done, and when
+    #[arg(long)]
+    timeline: bool,
+}
+
+/// How to run a program under the rig.
+#[derive(clap::Args)]
+pub struct UnderOptions {
+    /// The rig's process
+    #[arg(long)]
+    parent: u32,
+    /// Descriptors at most
+    #[arg(long)]
+    descriptors: Option<u64>,
+    /// Memory that it may map, in MB
+    #[arg(long)]
+    memory_mb: Option<u64>,
+    /// The program and its arguments
+    #[arg(last = true, required = true)]
+    command: Vec<OsString>,
+}
+
+/// Becomes the program.
+pub fn under(options: UnderOptions) -> Result<(), String> {
+    let UnderOptions { parent, descriptors, memory_mb, command } = options;
+    Err(sableloom_rig::under(&Under { parent, descriptors, memory_mb, command }))
+}
+
+/// For a rehearsal that can't be played.
+const UNPLAYED: u8 = 2;
+
+/// Runs it.
+pub async fn run(options: Options) -> ExitCode {
+    match rehearse(options).await {
+        Ok(code) => ExitCode::from(code),
+        Err(message) => {
+            eprintln!("sableloom: {message}");
+            ExitCode::from(UNPLAYED)
+        }
+    }
+}
+
+fn load(path: &Path) -> Result<Script, String> {
+    let name = path.display().to_string();
+    let bytes = bytes_of(&path.to_path_buf()).map_err(|e| format!("{name}: {e}"))?;
+    sableloom_rehearsal::read(&name, &bytes).map_err(|wrong| {
+        let lines: Vec<String> = wrong.iter().map(Problem::to_string).collect();
+        lines.join("\n")
+    })
+}
+
+fn binaries(given: &[String]) -> Result<HashMap<String, PathBuf>, String> {
+    let mut binaries = HashMap::new();
+    for text in given {
+        let Some((name, path)) = text.split_once('=').filter(|(n, p)| !n.is_empty() && !p.is_empty())
+        else {
+            return Err(format!("--binary {text:?}: expected NAME=PATH, as old=/opt/sableloom-0.1"));
+        };
+        if binaries.insert(name.to_string(), PathBuf::from(path)).is_some() {
+            return Err(format!("--binary {name}: it is given twice"));
+        }
+    }
+    Ok(binaries)
+}
+
+fn report_in(folder: &Path) -> Result<Report, String> {
+    let path = folder.join("report.json");
+    let named = |e: String| format!("{}: {e}", path.display());
+    let text = std::fs::read(&path).map_err(|e| named(e.to_string()))?;
+    serde_json::from_slice(&text).map_err(|e| named(format!("no report of a rehearsal: {e}")))
+}
+
+async fn rehearse(options: Options) -> Result<u8, String> {
+    let script = load(&options.script)?;
+    if options.timeline {
+        print!("{}", timeline(&script, options.seed));
+        return Ok(0);
+    }
+    // Before minutes are spent on the run.
+    let before = options.beside.as_deref().map(report_in).transpose()?;
+    let guard = std::env::current_exe().map_err(|e| format!("this program's own path: {e}"))?;
+    let out = options.out.unwrap_or_else(|| {
+        std::env::temp_dir().join(format!("sableloom-rehearsal-{}", std::process::id()))
+    });
+    let report = play(
+        &script,
+        &Play {
+            program: options.program.unwrap_or_else(|| guard.clone()),
+            guard,
+            binaries: binaries(&options.binary)?,
+            out: out.clone(),
+            seed: options.seed,
+            threads: usize::from(options.threads),
+            progress: std::io::stderr().is_terminal(),
+        },
+    )
+    .await?;
+    let write = |name: &str, text: String| {
+        let path = out.join(name);
+        std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))
+    };
+    write("report.json", serde_json::to_string(&report).map_err(|e| format!("the report: {e}"))?)?;
+    write("report.html", page(&report).map_err(|e| format!("the report's drawings: {e}"))?)?;
+    print!("{}", table(&report));
+    if let Some(before) = &before {
+        let both = beside(&report, before).map_err(|e| format!("the report's drawings: {e}"))?;
+        write("beside.html", both)?;
+        print!("{}", compared(&report, before));
+    }
+    println!("report: {}", out.join("report.html").display());
+    Ok(report.verdict.code())
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,11 +1,15 @@
 //! Stand-ins for the systems around a balancer: points nodes and a discovery agent, on loopback.
 //!
-//! Each runs on a thread of its own until the program ends. A node is a model: its work is a wait,
-//! drawn from a seeded distribution, and no measurement of a real machine.
+//! A node is a model: `sableloom-emulator` behind HTTP/1.1, its work drawn from a seeded distribution,
+//! and no measurement of a real machine. [`Node`] has a thread and a port; a [`Shell`] lives on its
+//! caller's `LocalSet` and is handed its connections.
 
 mod agent;
 mod node;
 mod serve;
+mod shell;
+mod valve;
 
 pub use agent::agent;
-pub use node::{Node, Options};
+pub use node::Node;
+pub use shell::{Arrival, Class, Lateness, Options, Shell};
