--- a/crates/rehearsal/src/account.rs
+++ b/crates/rehearsal/src/account.rs
@@ -369,7 +369,8 @@
         if effect && ran > 0 && one.answer == Answer::Refused {
             breaches.note(|b| &mut b.refused_ran, || format!("refused and ran: {}", told()));
         }
-        let made_up = one.answer == Answer::Wrong || (one.answer == Answer::Served && effect && ran == 0);
+        let made_up =
+            one.answer == Answer::Wrong || (one.answer == Answer::Served && effect && ran == 0);
         if made_up {
             breaches.note(|b| &mut b.invented, || format!("answer of no node: {}", told()));
         }
--- a/crates/rehearsal/src/judge.rs
+++ b/crates/rehearsal/src/judge.rs
@@ -55,7 +55,10 @@
     let (late, most) = (ms(machine.late), ms(limits.late));
     over(late > most, format!("one request in a hundred left {late:.1} ms late; {most} at most"));
     let (starved, most) = (machine.starved, limits.starved);
-    over(starved > most, format!("a balancer waited {starved:.2} of its time for a core; {most} at most"));
+    over(
+        starved > most,
+        format!("a balancer waited {starved:.2} of its time for a core; {most} at most"),
+    );
     let (late, most) = (machine.nodes_late, limits.nodes_late);
     over(late > most, format!("{late:.3} of a node's wakes were late; {most} at most"));
     over(machine.unsent > 0, format!("{} requests could not be sent", machine.unsent));
--- a/crates/rehearsal/src/link.rs
+++ b/crates/rehearsal/src/link.rs
@@ -142,8 +142,10 @@
 
     #[test]
     fn datagrams_are_overtaken_and_pieces_of_a_connection_are_not() {
-        let quality = Quality { reordered: 0.2, jitter: 8000, delay: 5000, loss: 0.1, ..Quality::default() };
-        let first: Vec<i64> = plain(quality, 500).iter().filter_map(|f| f.0.first().copied()).collect();
+        let quality =
+            Quality { reordered: 0.2, jitter: 8000, delay: 5000, loss: 0.1, ..Quality::default() };
+        let first: Vec<i64> =
+            plain(quality, 500).iter().filter_map(|f| f.0.first().copied()).collect();
         assert!(first.windows(2).any(|w| w[0] > w[1]), "none was overtaken");
         let mut passage = Passage::new(5);
         let pieces: Vec<i64> = (0..500).map(|i| passage.piece(i * 1000, 100, &quality)).collect();
--- a/crates/rehearsal/src/read.rs
+++ b/crates/rehearsal/src/read.rs
@@ -244,7 +244,12 @@
     let of = |i: usize| match &per_second {
         Some(rate) if !kinds => {
             let speed = rate.value * mean_work / 1e6 / CORES;
-            Shape { cores: CORES, speed, slots: (CORES * 12.0) as usize, room: (CORES * 15.0) as usize }
+            Shape {
+                cores: CORES,
+                speed,
+                slots: (CORES * 12.0) as usize,
+                room: (CORES * 15.0) as usize,
+            }
         }
         // The middle of its kind.
         _ => KINDS[kind(i)].shape(0.5),
@@ -430,7 +435,11 @@
                     None => {
                         let letter = side.letter();
                         let help = format!("they are {letter}1 to {letter}{all}");
-                        table.wrong(member, format!("no {:?} among them", member.value), Some(help));
+                        table.wrong(
+                            member,
+                            format!("no {:?} among them", member.value),
+                            Some(help),
+                        );
                     }
                 }
             }
@@ -575,7 +584,8 @@
         "way",
         &[("both", (true, true)), ("there", (true, false)), ("back", (false, true))],
     );
-    let how = table.choice("how", &[("silent", Way::Silent), ("cut", Way::Cut), ("open", Way::Open)]);
+    let how =
+        table.choice("how", &[("silent", Way::Silent), ("cut", Way::Cut), ("open", Way::Open)]);
     let way = way.map_or((true, true), |w| w.value);
     let quality = Quality {
         way: how.map_or(Way::Open, |h| h.value),
@@ -661,7 +671,8 @@
 }
 
 fn machine(root: &Table<'_>) -> MachineLimits {
-    let mut limits = MachineLimits { late: 25 * MS, starved: 0.2, nodes_late: 0.05, slack: 500 * MS };
+    let mut limits =
+        MachineLimits { late: 25 * MS, starved: 0.2, nodes_late: 0.05, slack: 500 * MS };
     let Some(table) = root.table("machine") else { return limits };
     limits.late = time(&table, "late_ms").unwrap_or(limits.late);
     limits.starved = share(&table, "starved").unwrap_or(limits.starved);
--- a/crates/rehearsal/src/timeline.rs
+++ b/crates/rehearsal/src/timeline.rs
@@ -313,8 +313,10 @@
                     pair(link(*there, *back), link(open(there), open(back)), time);
                 }
             }
-            Deed::PowerLoss { .. } | Deed::Load { .. } | Deed::Storm { .. } | Deed::Shift { .. } => {
-            }
+            Deed::PowerLoss { .. }
+            | Deed::Load { .. }
+            | Deed::Storm { .. }
+            | Deed::Shift { .. } => {}
         }
     }
 }
--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -216,9 +216,10 @@
                     .is_ok_and(|body| body["id"] == id.as_str());
                 if own { Answer::Served } else { Answer::Wrong }
             }
-            Ok(Sent::Answered(StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE, _)) => {
-                Answer::Refused
-            }
+            Ok(Sent::Answered(
+                StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE,
+                _,
+            )) => Answer::Refused,
             Ok(Sent::Answered(..)) => Answer::Failed,
             Ok(Sent::Broken | Sent::Crossed) => Answer::Broken,
             Ok(Sent::Unreached) => Answer::Unreached,
--- a/crates/rig/src/datagrams.rs
+++ b/crates/rig/src/datagrams.rs
@@ -128,7 +128,8 @@
             .run_until(async {
                 let mut sockets = Vec::new();
                 for _ in 0..2 {
-                    sockets.push(UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a socket"));
+                    sockets
+                        .push(UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a socket"));
                 }
                 let at: Vec<_> = sockets.iter().map(|s| s.local_addr().expect("bound")).collect();
                 let net = Datagrams::start(&at, 3).await.expect("a net");
@@ -139,7 +140,8 @@
 
     async fn next(socket: &UdpSocket) -> (Vec<u8>, SocketAddr) {
         let mut buffer = [0; 512];
-        let (n, from) = timeout(LONG, socket.recv_from(&mut buffer)).await.expect("in time").expect("read");
+        let (n, from) =
+            timeout(LONG, socket.recv_from(&mut buffer)).await.expect("in time").expect("read");
         (buffer[..n].to_vec(), from)
     }
 
@@ -164,7 +166,8 @@
     async fn one_way_may_be_cut_while_the_other_is_open() {
         with_two(async |sockets, net| {
             net.set(THERE, Quality { way: Way::Silent, ..Quality::default() });
-            let (there, back) = (net.address(THERE).expect("a way"), net.address(BACK).expect("a way"));
+            let (there, back) =
+                (net.address(THERE).expect("a way"), net.address(BACK).expect("a way"));
             sockets[0].send_to(b"lost", there).await.expect("sent");
             sockets[1].send_to(b"back", back).await.expect("sent");
             assert_eq!(next(&sockets[0]).await.0, b"back");
--- a/crates/rig/src/doors.rs
+++ b/crates/rig/src/doors.rs
@@ -94,7 +94,8 @@
             choice.retain(|b| Some(*b) != not);
         }
         // The first of a zone is the busiest, with so many times the mean of all.
-        let first = self.uneven * (choice.len() as f64 - 1.0) / (choice.len() as f64 - self.uneven).max(0.1);
+        let first = self.uneven * (choice.len() as f64 - 1.0)
+            / (choice.len() as f64 - self.uneven).max(0.1);
         let weight = |i: usize| if i == 0 && choice.len() > 1 { first } else { 1.0 };
         let sum: f64 = (0..choice.len()).map(weight).sum();
         let mut left = lot * sum;
--- a/crates/rig/src/gate.rs
+++ b/crates/rig/src/gate.rs
@@ -32,26 +32,31 @@
     fillers: Vec<Socket>,
 }
 
+/// A free loopback port, held by a socket that is bound and does not listen. Nobody is given that port by
+/// chance from then on, as the source of a connection, say; a program that asks for it by number, and
+/// allows its reuse as servers do, gets it all the same.
+pub fn reserve() -> io::Result<(Socket, SocketAddr)> {
+    let mut last = io::Error::from(io::ErrorKind::AddrInUse);
+    for _ in 0..TRIES {
+        // A port that the system chose is given back when a socket stops listening, one that was asked
+        // for is kept.
+        let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?;
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        match socket.bind(&free.into()) {
+            Ok(()) => return Ok((socket, free)),
+            Err(e) => last = e,
+        }
+    }
+    Err(last)
+}
+
 impl Gate {
     /// A closed one on a free loopback port, which refuses.
     pub fn new() -> io::Result<Self> {
-        let mut last = io::Error::from(io::ErrorKind::AddrInUse);
-        for _ in 0..TRIES {
-            // A port that the system chose is given back when a socket stops listening, one that was
-            // asked for is kept.
-            let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?;
-            let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-            socket.set_reuse_address(true)?;
-            socket.set_nonblocking(true)?;
-            match socket.bind(&free.into()) {
-                Ok(()) => {
-                    let fillers = Vec::new();
-                    return Ok(Self { socket, address: free, door: Door::Refused, fillers });
-                }
-                Err(e) => last = e,
-            }
-        }
-        Err(last)
+        let (socket, address) = reserve()?;
+        Ok(Self { socket, address, door: Door::Refused, fillers: Vec::new() })
     }
 
     /// Where it is.
@@ -105,6 +110,18 @@
         TcpStream::connect_timeout(&gate.address(), SHORT)
     }
 
+    #[test]
+    fn a_port_that_is_held_goes_to_whoever_asks_for_it_by_number_only() {
+        let (_held, address) = reserve().expect("a port");
+        let other = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        assert!(other.bind(&address.into()).is_err(), "a stranger got it");
+        let server = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        server.set_reuse_address(true).expect("set");
+        server.bind(&address.into()).expect("it is given");
+        server.listen(1).expect("it listens");
+        TcpStream::connect_timeout(&address, SHORT).expect("a connection");
+    }
+
     #[test]
     fn a_gate_refuses_is_silent_and_opens_again_on_the_same_port() {
         let mut gate = Gate::new().expect("a gate");
--- a/crates/rig/src/html.rs
+++ b/crates/rig/src/html.rs
@@ -78,14 +78,14 @@
                 let all = row.all();
                 let below: u64 = ENDS[..i].iter().map(|end| end.2(&all)).sum();
                 let top = below + ENDS[i].2(&all);
-                let corners = [(second as f64 + 0.06, below as f64), (second as f64 + 0.94, top as f64)];
+                let corners =
+                    [(second as f64 + 0.06, below as f64), (second as f64 + 0.94, top as f64)];
                 Rectangle::new(corners, colour.filled())
             });
             let colour = *colour;
-            chart
-                .draw_series(bars)?
-                .label(*name)
-                .legend(move |(x, y)| Rectangle::new([(x, y - 4), (x + 10, y + 4)], colour.filled()));
+            chart.draw_series(bars)?.label(*name).legend(move |(x, y)| {
+                Rectangle::new([(x, y - 4), (x + 10, y + 4)], colour.filled())
+            });
         }
         chart.configure_series_labels().background_style(WHITE.mix(0.8)).draw()?;
         root.present()?;
@@ -111,7 +111,9 @@
             .y_label_area_size(48)
             .build_cartesian_2d(0.0..length(account), 0.0..most)?;
         chart.configure_mesh().x_desc("s").light_line_style(WHITE).draw()?;
-        let band = |(from, to): (f64, f64)| Rectangle::new([(from, 0.0), (to, most)], RED.mix(0.08).filled());
+        let band = |(from, to): (f64, f64)| {
+            Rectangle::new([(from, 0.0), (to, most)], RED.mix(0.08).filled())
+        };
         chart.draw_series(bands(account).into_iter().map(band))?;
         for (name, colour, points) in lines {
             let colour = *colour;
@@ -148,7 +150,8 @@
         }
         match row.times {
             Some((half, most)) => {
-                let _ = write!(text, "<td>{:.0}<td>{:.0}</tr>", half as f64 / 1e3, most as f64 / 1e3);
+                let _ =
+                    write!(text, "<td>{:.0}<td>{:.0}</tr>", half as f64 / 1e3, most as f64 / 1e3);
             }
             None => text.push_str("<td>-<td>-</tr>"),
         }
@@ -163,7 +166,9 @@
     let verdict = match &report.verdict {
         Verdict::Met => "all that was expected holds".to_string(),
         Verdict::Unmet(why) => format!("not as expected: {}", why.join("; ")),
-        Verdict::Void(why) => format!("void, this machine could not carry the run: {}", why.join("; ")),
+        Verdict::Void(why) => {
+            format!("void, this machine could not carry the run: {}", why.join("; "))
+        }
     };
     let _ = write!(
         body,
@@ -177,7 +182,9 @@
         .classes
         .iter()
         .enumerate()
-        .map(|(i, name)| (name.clone(), LINES[i % 6], shares(&account.seconds, |row| row.classes[i])))
+        .map(|(i, name)| {
+            (name.clone(), LINES[i % 6], shares(&account.seconds, |row| row.classes[i]))
+        })
         .collect();
     body += &lines(account, "share served in time, by class", 1.05, &by_class)?;
     let by_node: Vec<_> = account
@@ -190,7 +197,12 @@
         })
         .collect();
     let most = by_node.iter().flat_map(|(_, _, points)| points).map(|p| p.1).fold(1.5, f64::max);
-    body += &lines(account, "work sent to each node, over what it could do then", most * 1.05, &by_node)?;
+    body += &lines(
+        account,
+        "work sent to each node, over what it could do then",
+        most * 1.05,
+        &by_node,
+    )?;
     body += "<h2>Phases</h2>";
     rows(&mut body, "phase", &account.phases);
     body += "<h2>Balancers</h2>";
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,12 +19,14 @@
 };
 use sableloom_standin::{Class as NodeClass, Lateness, Options as NodeOptions, Shell};
 use serde::{Deserialize, Serialize};
+use socket2::Socket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{MissedTickBehavior, interval, sleep_until, timeout};
 
 use crate::child::{Child, Said, Start, Told};
 use crate::clients::{self, Class, Crowd, Progress};
 use crate::doors::Doors;
+use crate::gate::reserve;
 use crate::net::Link;
 use crate::site::{DRAIN, Folder, Listed};
 
@@ -36,6 +38,8 @@
 const TICK: Duration = Duration::from_millis(2);
 /// How often it writes down what nodes and processes do.
 const SAMPLE: Duration = Duration::from_millis(250);
+/// How many of these to each time that a balancer is asked for its status.
+const ASK_EVERY: u64 = 4;
 /// From the last process that listens to the first arrival.
 const SETTLE: Duration = Duration::from_millis(200);
 /// How long a deed waits for its condition.
@@ -66,6 +70,13 @@
     pub progress: bool,
 }
 
+impl Options {
+    /// Whether the balancers are this very program, and so know what it knows.
+    fn own(&self) -> bool {
+        self.program == self.guard
+    }
+}
+
 /// What came of a play.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -77,6 +88,8 @@
     pub machine: Machine,
     /// What else was seen: twins' ends, conditions that never came.
     pub notes: Vec<String>,
+    /// What each balancer said last of itself, if it was asked.
+    pub statuses: Vec<Option<serde_json::Value>>,
     /// The programs, by name: which file each was.
     pub binaries: Vec<(String, String)>,
 }
@@ -98,6 +111,8 @@
     child: Option<Child>,
     binary: Option<String>,
     address: SocketAddr,
+    /// Holds the address while no process does.
+    _held: Socket,
     folder: Folder,
     says: usize,
     /// It is to be started as soon as its last process is gone.
@@ -143,10 +158,13 @@
     drains: HashMap<(usize, usize), i64>,
     sent: Vec<f64>,
     sampled: Instant,
+    samples: u64,
     starved: f64,
     notes: Vec<String>,
     /// Deeds whose condition has not come yet, and until when it may.
     pending: Vec<(Step, Instant)>,
+    /// What each balancer said last of itself.
+    statuses: Vec<Option<serde_json::Value>>,
     /// The end has begun: what ends now is not written down as a crash.
     ending: bool,
 }
@@ -176,11 +194,6 @@
     Ok(())
 }
 
-fn free_address() -> Result<SocketAddr, String> {
-    let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|l| l.local_addr());
-    free.map_err(|e| format!("a free port: {e}"))
-}
-
 /// Plays a script. To be called on a `LocalSet` whose thread lives longer than the play: the processes
 /// end with that thread.
 pub async fn play(script: &Script, options: &Options) -> Result<Report, String> {
@@ -252,7 +265,9 @@
         .chain(options.binaries.iter().map(|(n, p)| (n.clone(), p.display().to_string())));
     let mut binaries: Vec<_> = binaries.collect();
     binaries.sort();
-    Ok(Report { account, verdict, machine, notes: std::mem::take(&mut play.notes), binaries })
+    let notes = std::mem::take(&mut play.notes);
+    let statuses = std::mem::take(&mut play.statuses);
+    Ok(Report { account, verdict, machine, notes, statuses, binaries })
 }
 
 impl<'s> Play<'s> {
@@ -299,6 +314,7 @@
         for b in 0..script.fleet.balancers {
             let path = options.out.join(format!("b{}", b + 1));
             let folder = Folder::new(path.clone()).map_err(io(&path.display().to_string()))?;
+            let (held, address) = reserve().map_err(io("a free port"))?;
             let mut says = script.fleet.says;
             let mut binary = None;
             for special in &script.processes {
@@ -311,7 +327,8 @@
                 life: Life::Down,
                 child: None,
                 binary,
-                address: free_address()?,
+                address,
+                _held: held,
                 folder,
                 says,
                 start_again: false,
@@ -353,9 +370,11 @@
             start: Instant::now(),
             drains: HashMap::new(),
             sampled: Instant::now(),
+            samples: 0,
             starved: 0.0,
             notes: Vec::new(),
             pending: Vec::new(),
+            statuses: vec![None; script.fleet.balancers],
             ending: false,
         })
     }
@@ -404,7 +423,11 @@
         let mut start = Start {
             guard: self.options.guard.clone(),
             program: program.clone(),
-            arguments: vec!["serve".into(), "--config".into(), balancer.folder.path("site.toml").into()],
+            arguments: vec![
+                "serve".into(),
+                "--config".into(),
+                balancer.folder.path("site.toml").into(),
+            ],
             descriptors: None,
             memory_mb: None,
             log: balancer.folder.path("log"),
@@ -450,7 +473,7 @@
             self.hear(number, said);
             if let (true, Some(b)) = (ended, whose) {
                 let how = self.facts.crashes.pop().map(|c| c.2).unwrap_or_default();
-                return Err(format!("b{} can't start: {how}{}", b + 1, self.log_of(b)));
+                return Err(format!("b{} can't start: {how}", b + 1));
             }
         }
         Ok(())
@@ -458,7 +481,11 @@
 
     fn log_of(&self, b: usize) -> String {
         let lines: Vec<&str> = self.balancers[b].log.iter().map(String::as_str).collect();
-        if lines.is_empty() { String::new() } else { format!("; its last words: {}", lines.join(" | ")) }
+        if lines.is_empty() {
+            String::new()
+        } else {
+            format!("; its last words: {}", lines.join(" | "))
+        }
     }
 
     fn whose(&self, number: u64) -> Option<usize> {
@@ -484,6 +511,12 @@
     }
 
     fn line(&mut self, b: usize, line: String) {
+        if let Some((_, status)) = line.split_once("sableloom: status ") {
+            if let Ok(status) = serde_json::from_str(status) {
+                self.statuses[b] = Some(status);
+            }
+            return;
+        }
         let now = Instant::now();
         let at = self.micros(now);
         let balancer = &mut self.balancers[b];
@@ -746,6 +779,7 @@
 
     fn holds(&self, step: &Step) -> bool {
         let b = match step.act {
+            Act::Link { balancer, node, .. } => return self.nodes[node].holds_effect(balancer),
             Act::Kill(b) | Act::Term(b) | Act::Freeze(b) | Act::HangUp(b) | Act::Site(b, _) => b,
             // Of others no single balancer is meant.
             _ => return true,
@@ -789,7 +823,16 @@
             self.sent[n] = sent;
             self.facts.nodes[n].push(row);
         }
+        // Each says of itself what can't be seen from outside. An older program may not know the signal,
+        // and would end.
+        let ask = self.samples % ASK_EVERY == 0;
+        self.samples += 1;
         for balancer in &mut self.balancers {
+            if let Some(child) = balancer.child.as_ref().filter(|_| ask) {
+                if balancer.life == Life::Up && balancer.binary.is_none() && self.options.own() {
+                    child.signal(Signal::USR1);
+                }
+            }
             // What was stopped waits for no core.
             if balancer.life != Life::Up || balancer.frozen {
                 continue;
@@ -866,7 +909,8 @@
     }
 
     fn bar(&self) -> Option<ProgressBar> {
-        let bar = self.options.progress.then(|| ProgressBar::new((self.script.length / MS) as u64))?;
+        let bar =
+            self.options.progress.then(|| ProgressBar::new((self.script.length / MS) as u64))?;
         let style = ProgressStyle::with_template("{bar:40} {percent:>3}%  {msg}");
         if let Ok(style) = style {
             bar.set_style(style);
--- a/crates/rig/src/site.rs
+++ b/crates/rig/src/site.rs
@@ -75,7 +75,11 @@
     ) -> io::Result<()> {
         let mut text = String::new();
         let fleet = &script.fleet;
-        let _ = writeln!(text, "[limits]\nsockets = {}\nmemory_mb = {}\n", fleet.sockets, fleet.memory_mb);
+        let _ = writeln!(
+            text,
+            "[limits]\nsockets = {}\nmemory_mb = {}\n",
+            fleet.sockets, fleet.memory_mb
+        );
         let _ = writeln!(text, "[locality]\nbalancers = {says}");
         if let Some(zone) = fleet.zones.get(script.zone(balancer)) {
             let zones: Vec<_> = fleet.zones.iter().map(|zone| quoted(zone)).collect();
@@ -121,7 +125,12 @@
     pub fn list(&self, nodes: &[Listed], clock_us: i64, half: bool) -> io::Result<()> {
         let mut text = String::from("pool = \"points\"\n");
         for node in nodes {
-            let _ = write!(text, "\n[[server]]\nid = {}\naddress = \"{}\"\n", quoted(&node.name), node.address);
+            let _ = write!(
+                text,
+                "\n[[server]]\nid = {}\naddress = \"{}\"\n",
+                quoted(&node.name),
+                node.address
+            );
             if let Some(zone) = &node.zone {
                 let _ = writeln!(text, "zone = {}", quoted(zone));
             }
@@ -209,7 +218,8 @@
     use super::*;
 
     fn folder(name: &str) -> Folder {
-        let path = std::env::temp_dir().join(format!("sableloom-rig-{}-{name}", std::process::id()));
+        let path =
+            std::env::temp_dir().join(format!("sableloom-rig-{}-{name}", std::process::id()));
         Folder::new(path).expect("a folder")
     }
 
--- a/crates/rig/src/table.rs
+++ b/crates/rig/src/table.rs
@@ -19,7 +19,14 @@
     let all = row.all();
     let mut cells = vec![row.name.clone(), all.asked.to_string()];
     let ends = [
-        all.served, all.late, all.refused, all.failed, all.caught, all.unreached, all.left, all.lost,
+        all.served,
+        all.late,
+        all.refused,
+        all.failed,
+        all.caught,
+        all.unreached,
+        all.left,
+        all.lost,
     ];
     cells.extend(ends.map(|n| share(n, all.asked)));
     match row.times {
@@ -40,8 +47,18 @@
     let mut table = Table::new();
     table.load_preset(presets::UTF8_HORIZONTAL_ONLY);
     table.set_header([
-        "phase", "asked", "served", "late", "refused", "failed", "caught", "unreached", "left", "lost",
-        "p50 ms", "p99 ms",
+        "phase",
+        "asked",
+        "served",
+        "late",
+        "refused",
+        "failed",
+        "caught",
+        "unreached",
+        "left",
+        "lost",
+        "p50 ms",
+        "p99 ms",
     ]);
     for row in &account.phases {
         table.add_row(cells(row));
@@ -110,7 +127,16 @@
 pub fn compared(now: &Report, before: &Report) -> String {
     let mut table = Table::new();
     table.load_preset(presets::UTF8_HORIZONTAL_ONLY);
-    table.set_header(["phase", "served before", "now", "difference", "refused before", "now", "lost before", "now"]);
+    table.set_header([
+        "phase",
+        "served before",
+        "now",
+        "difference",
+        "refused before",
+        "now",
+        "lost before",
+        "now",
+    ]);
     for row in &now.account.phases {
         let Some(other) = before.account.phases.iter().find(|other| other.name == row.name) else {
             continue;
--- a/crates/sableloom/src/rehearse.rs
+++ b/crates/sableloom/src/rehearse.rs
@@ -88,9 +88,12 @@
 fn binaries(given: &[String]) -> Result<HashMap<String, PathBuf>, String> {
     let mut binaries = HashMap::new();
     for text in given {
-        let Some((name, path)) = text.split_once('=').filter(|(n, p)| !n.is_empty() && !p.is_empty())
+        let Some((name, path)) =
+            text.split_once('=').filter(|(n, p)| !n.is_empty() && !p.is_empty())
         else {
-            return Err(format!("--binary {text:?}: expected NAME=PATH, as old=/opt/sableloom-0.1"));
+            return Err(format!(
+                "--binary {text:?}: expected NAME=PATH, as old=/opt/sableloom-0.1"
+            ));
         };
         if binaries.insert(name.to_string(), PathBuf::from(path)).is_some() {
             return Err(format!("--binary {name}: it is given twice"));
--- a/crates/sableloom/src/serve.rs
+++ b/crates/sableloom/src/serve.rs
@@ -16,6 +16,7 @@
 use sableloom_shadow::Bounds;
 use sableloom_site::{Pool, Shadow, Site, Target};
 use sableloom_types::settings::{span, stable_hash};
+use serde_json::{Value, json};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
@@ -145,6 +146,18 @@
         self.pools().iter().map(|pool| pool.exchange.open()).sum()
     }
 
+    /// What it does now, as one line of JSON.
+    fn status(&self) -> Value {
+        let routing = self.routing.borrow().clone();
+        let pool = |pool: &Rc<Running>| {
+            let (list, version, servers) = pool.files.version();
+            json!({"name": pool.name, "open": pool.exchange.open(), "list": list,
+                   "version": version, "servers": servers})
+        };
+        json!({"configuration": routing.number, "hash": routing.site.hash, "open": self.open(),
+               "pools": routing.pools.iter().map(pool).collect::<Vec<_>>()})
+    }
+
     /// Closes idle connections, and lets go of pools that have ended.
     fn sweep(&self) {
         self.pools().iter().for_each(|pool| pool.transport.sweep());
@@ -339,6 +352,7 @@
     let path = options.config;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let mut status = signal(SignalKind::user_defined1()).map_err(|e| format!("SIGUSR1: {e}"))?;
     let (site, table) = load(&path).map_err(|wrong| told(&wrong))?;
     let other = SOCKETS_OTHER + site.listeners.len() + SOCKETS_POOL * site.pools.len();
     let (mut clients, upstreams) = split(site.limits.memory_mb, site.limits.sockets, other);
@@ -416,6 +430,12 @@
             }
         }
     });
+    let asked = router.clone();
+    spawn_local(async move {
+        while status.recv().await.is_some() {
+            eprintln!("sableloom: status {}", asked.status());
+        }
+    });
     term.recv().await;
     eprintln!("sableloom: SIGTERM; {} open", router.open());
     // Copies end while what was taken is finished, and the records are written once more.
--- a/crates/standin/src/shell.rs
+++ b/crates/standin/src/shell.rs
@@ -304,12 +304,7 @@
 
     /// Serves a connection to its end; false if no node is there. `sent` says when the last bytes that
     /// came left whoever sent them, which may be long before they are here.
-    pub async fn serve<S>(
-        self: &Rc<Self>,
-        stream: S,
-        from: usize,
-        sent: Rc<Cell<Instant>>,
-    ) -> bool
+    pub async fn serve<S>(self: &Rc<Self>, stream: S, from: usize, sent: Rc<Cell<Instant>>) -> bool
     where
         S: AsyncRead + AsyncWrite + Unpin + 'static,
     {
