--- a/crates/rehearsal/src/account.rs
+++ b/crates/rehearsal/src/account.rs
@@ -1,6 +1,6 @@
 //! What happened, from the facts that were seen: how each request ended, and every breach of a rule.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
@@ -327,16 +327,18 @@
 }
 
 /// How a try ended, for its client.
-fn end_of(script: &Script, facts: &Facts, one: &Try) -> End {
+fn end_of(script: &Script, facts: &Facts, read: &HashSet<&str>, one: &Try) -> End {
     let (moment, class, _) = facts.arrivals[one.arrival];
     let class = &script.classes[class];
     let out = caught(script, facts, one.balancer, one.sent, one.ended);
     let overdue = one.ended - one.sent > class.deadline + script.machine.slack;
     match one.answer {
         Answer::Left => End::Left,
-        Answer::Unreached => End::Unreached,
-        Answer::Broken | Answer::Silent if out => End::Caught,
-        Answer::Broken | Answer::Silent => End::Lost,
+        // What came to a node had been read by a balancer, whatever its client believes: a connection
+        // that ended then did not cross the request.
+        Answer::Unreached if !read.contains(one.id.as_str()) => End::Unreached,
+        Answer::Broken | Answer::Silent | Answer::Unreached if out => End::Caught,
+        Answer::Broken | Answer::Silent | Answer::Unreached => End::Lost,
         _ if overdue && !out => End::Lost,
         _ if overdue => End::Caught,
         Answer::Served if one.ended - moment <= class.aim => End::Served,
@@ -404,7 +406,8 @@
 
 /// The account of a run from what was seen.
 pub fn account(script: &Script, timeline: &Timeline, seed: u64, facts: &Facts) -> Account {
-    let ends: Vec<End> = facts.tries.iter().map(|one| end_of(script, facts, one)).collect();
+    let read: HashSet<&str> = facts.arrived.iter().map(|a| a.id.as_str()).collect();
+    let ends: Vec<End> = facts.tries.iter().map(|one| end_of(script, facts, &read, one)).collect();
     // The last try tells how an arrival ended, but one that was served stays served, and one that was
     // lost stays lost.
     let mut last: Vec<Option<usize>> = vec![None; facts.arrivals.len()];
--- a/crates/rehearsal/src/read.rs
+++ b/crates/rehearsal/src/read.rs
@@ -570,7 +570,7 @@
         "shift" => {
             let zone = table.need_text("zone", "a zone's name")?;
             let zone = reading.zone(table, &zone)?;
-            let times = table.need_number("times", 0.0..=1000.0, " times")?;
+            let times = table.need_number("factor", 0.0..=1000.0, " times")?;
             Deed::Shift { zone, times: times.value }
         }
         // `choice` gives only what is in the list.
