Rehearse with discovery as well; the command's exit codes and reports tested; no circle in site

Issue: lists from discovery are to be late, stale and different too. A script may say lists = "discovery": the balancers run in the platform's mode, each with an agent of its own that is told another list at another time, is silent about news, or breaks its answers off.

What site/read and site/shadow both use lies in site/field: neither imports the other in a circle.

--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -21,4 +21,4 @@
 pub use link::{Fate, Passage, Quality, Way};
 pub use read::read;
 pub use script::*;
-pub use timeline::{Act, Condition, Step, Timeline, timeline};
+pub use timeline::{Act, Step, Timeline, timeline};
--- a/crates/rehearsal/src/read.rs
+++ b/crates/rehearsal/src/read.rs
@@ -7,7 +7,7 @@
 use crate::arrivals::most_requests;
 use crate::link::{Quality, Way};
 use crate::script::*;
-use crate::timeline::{Condition, last_of, side_of};
+use crate::timeline::{last_of, side_of};
 
 /// The longest time in a script.
 const HOUR_MS: f64 = 3_600_000.0;
@@ -202,6 +202,8 @@
         }
         zones.push(zone.value);
     }
+    let words = [("files", Lists::Files), ("discovery", Lists::Discovery)];
+    let lists = table.choice("lists", &words).map_or(Lists::Files, |l| l.value);
     let sockets = table.whole("sockets", 64..=1_000_000, " descriptors");
     let memory_mb = table.whole("memory_mb", 24..=1_000_000, " MB");
     table.finish();
@@ -209,6 +211,7 @@
     Some(Fleet {
         balancers,
         says: says.map_or(balancers, |n| n.value),
+        lists,
         zones,
         sockets: sockets.map_or(1024, |n| n.value),
         memory_mb: memory_mb.map_or(128, |n| n.value),
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -47,6 +47,15 @@
     pub machine: MachineLimits,
 }
 
+/// Where balancers learn of nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lists {
+    /// `serve`, with a file of servers for each.
+    Files,
+    /// The platform's mode, with a discovery agent for each.
+    Discovery,
+}
+
 /// The balancers.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -54,6 +63,8 @@
     pub balancers: usize,
     /// How many their files say run.
     pub says: usize,
+    /// Where they learn of nodes.
+    pub lists: Lists,
     /// Zones that balancers and nodes are dealt out to in turn; none for a fleet without.
     pub zones: Vec<String>,
     /// Descriptors, as their files say.
@@ -345,6 +356,13 @@
     },
 }
 
+/// What a deed waits for once its time has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// A request with an effect is out at a node through this balancer.
+    EffectOut,
+}
+
 /// One entry of the script.
 #[derive(Clone, Debug)]
 pub struct Event {
@@ -355,7 +373,7 @@
     /// A member after the other, over this long.
     pub spread: i64,
     /// Only once this holds.
-    pub when: Option<crate::timeline::Condition>,
+    pub when: Option<Condition>,
     /// Whom; of no meaning for the load.
     pub who: usize,
     /// What.
--- a/crates/rehearsal/src/timeline.rs
+++ b/crates/rehearsal/src/timeline.rs
@@ -6,14 +6,7 @@
 use sableloom_emulator::Fault;
 
 use crate::link::{Quality, Way};
-use crate::script::{Deed, Event, Group, Keep, Pick, S, Script, Side};
-
-/// What a deed waits for once its time has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Condition {
-    /// A request with an effect is out at a node through this balancer.
-    EffectOut,
-}
+use crate::script::{Condition, Deed, Event, Group, Keep, Pick, S, Script, Side};
 
 /// One deed to one process, node or link. Balancers and nodes are numbered from 0.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/rig/src/child.rs
+++ b/crates/rig/src/child.rs
@@ -31,6 +31,8 @@
     pub program: PathBuf,
     /// Its arguments.
     pub arguments: Vec<OsString>,
+    /// Variables of its environment, besides those of the rig's own.
+    pub variables: Vec<(&'static str, OsString)>,
     /// Descriptors that the system lets it have.
     pub descriptors: Option<u64>,
     /// Memory that the system lets it map, in MB.
@@ -64,6 +66,7 @@
             command.args(["--memory-mb", &n.to_string()]);
         }
         command.arg("--").arg(&start.program).args(&start.arguments);
+        command.env_remove("ROUTER_CONFIG").envs(start.variables.iter().cloned());
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let named = |e: std::io::Error| format!("{}: {e}", start.program.display());
         let mut log = open_log(&start.log).map_err(|e| format!("{}: {e}", start.log.display()))?;
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -14,10 +14,12 @@
 use rustix::process::{Resource, Rlimit, Signal, getrlimit, setrlimit};
 use sableloom_emulator::Phase;
 use sableloom_rehearsal::{
-    Account, Act, Arrived, Drain, Effect, Facts, Keep, MS, Machine, NodeRow, Outage, Script, Step,
-    Timeline, Verdict, account, arrivals, judge, timeline,
+    Account, Act, Arrived, Drain, Effect, Facts, Keep, Lists, MS, Machine, NodeRow, Outage, Script,
+    Step, Timeline, Verdict, account, arrivals, judge, timeline,
+};
+use sableloom_standin::{
+    Agent, Class as NodeClass, Lateness, Member, Mood, Options as NodeOptions, Shell,
 };
-use sableloom_standin::{Class as NodeClass, Lateness, Options as NodeOptions, Shell};
 use serde::{Deserialize, Serialize};
 use socket2::Socket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -114,6 +116,8 @@
     /// Holds the address while no process does.
     _held: Socket,
     folder: Folder,
+    /// The discovery agent of its machine, where it has one.
+    agent: Option<(Rc<Agent>, SocketAddr)>,
     says: usize,
     /// It is to be started as soon as its last process is gone.
     start_again: bool,
@@ -330,6 +334,10 @@
                 address,
                 _held: held,
                 folder,
+                agent: match script.fleet.lists {
+                    Lists::Files => None,
+                    Lists::Discovery => Some(Agent::start(&[]).map_err(io("an agent"))?),
+                },
                 says,
                 start_again: false,
                 lose: None,
@@ -423,15 +431,22 @@
         let mut start = Start {
             guard: self.options.guard.clone(),
             program: program.clone(),
-            arguments: vec![
-                "serve".into(),
-                "--config".into(),
-                balancer.folder.path("site.toml").into(),
-            ],
+            arguments: Vec::new(),
+            variables: Vec::new(),
             descriptors: None,
             memory_mb: None,
             log: balancer.folder.path("log"),
         };
+        match balancer.agent {
+            None => {
+                let site = balancer.folder.path("site.toml").into();
+                start.arguments = vec!["serve".into(), "--config".into(), site];
+            }
+            Some(_) => {
+                let config = balancer.folder.path("config.json").into();
+                start.variables = vec![("ROUTER_CONFIG", config)];
+            }
+        }
         for special in &self.script.processes {
             if self.timeline.groups[special.who].contains(&b) {
                 start.descriptors = special.descriptors.or(start.descriptors);
@@ -443,11 +458,10 @@
 
     /// Starts a balancer's process, with the files as they have to be.
     fn start_one(&mut self, b: usize) -> Result<(), String> {
-        let Balancer { address, says, .. } = self.balancers[b];
         let named = |e| format!("b{}: its files: {e}", b + 1);
         let folder = self.balancers[b].folder.clone();
         folder.sync().map_err(named)?;
-        folder.site(self.script, b, address, says).map_err(named)?;
+        self.write_site(b).map_err(named)?;
         self.write_list(b).map_err(named)?;
         let child = self.spawn(b)?;
         let balancer = &mut self.balancers[b];
@@ -457,6 +471,15 @@
         Ok(())
     }
 
+    /// Its configuration, as it has to be.
+    fn write_site(&self, b: usize) -> std::io::Result<()> {
+        let Balancer { folder, address, says, agent, .. } = &self.balancers[b];
+        match agent {
+            None => folder.site(self.script, b, *address, *says),
+            Some((_, agent)) => folder.platform(self.script, b, *address, *says, *agent),
+        }
+    }
+
     async fn start_all(&mut self, tells: &mut UnboundedReceiver<Told>) -> Result<(), String> {
         for b in 0..self.balancers.len() {
             self.start_one(b)?;
@@ -641,8 +664,19 @@
                 });
             }
         }
-        let Balancer { folder, clock, half, .. } = &self.balancers[b];
-        folder.list(&listed, *clock, *half)
+        let Balancer { folder, clock, half, agent, .. } = &self.balancers[b];
+        let Some((agent, _)) = agent else { return folder.list(&listed, *clock, *half) };
+        let unix = |at: SystemTime| at.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let member = |node: &Listed| Member {
+            id: node.name.clone(),
+            address: node.address,
+            zone: node.zone.clone().unwrap_or("a".to_string()),
+            drains: node.drains,
+            started_ms: node.started.map_or(0, |at| unix(at).as_millis() as i64 + clock / MS),
+        };
+        agent.mood(if *half { Mood::Half } else { Mood::Well });
+        agent.set(&listed.iter().map(member).collect::<Vec<_>>());
+        Ok(())
     }
 
     /// Something of the nodes has changed: each balancer's list follows when it does.
@@ -711,10 +745,9 @@
             Act::Thaw(b) => self.thaw(*b),
             Act::HangUp(b) => self.signal(*b, Signal::HUP),
             Act::Site(b, bad) => {
-                let Balancer { folder, address, says, .. } = &self.balancers[*b];
                 let written = match bad {
-                    true => folder.spoil_site(),
-                    false => folder.site(self.script, *b, *address, *says),
+                    true => self.balancers[*b].folder.spoil(),
+                    false => self.write_site(*b),
                 };
                 if let Err(e) = written {
                     self.notes.push(format!("b{}: its site: {e}", b + 1));
@@ -829,7 +862,11 @@
         self.samples += 1;
         for balancer in &mut self.balancers {
             if let Some(child) = balancer.child.as_ref().filter(|_| ask) {
-                if balancer.life == Life::Up && balancer.binary.is_none() && self.options.own() {
+                if balancer.life == Life::Up
+                    && balancer.binary.is_none()
+                    && balancer.agent.is_none()
+                    && self.options.own()
+                {
                     child.signal(Signal::USR1);
                 }
             }
--- a/crates/rig/src/site.rs
+++ b/crates/rig/src/site.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, SystemTime};
 
 use jiff::Timestamp;
-use sableloom_rehearsal::{Effect, Keep, Script};
+use sableloom_rehearsal::{Class, Effect, Keep, Script};
+use serde_json::json;
 
 /// How long after it was told of a drain a balancer may still send to the node.
 pub const DRAIN: Duration = Duration::from_millis(1000);
@@ -116,8 +117,60 @@
         self.replace("site.toml", &text)
     }
 
-    /// A site's file that breaks off.
-    pub fn spoil_site(&self) -> io::Result<()> {
+    /// The platform's configuration, for a balancer that asks this agent.
+    pub fn platform(
+        &self,
+        script: &Script,
+        balancer: usize,
+        address: SocketAddr,
+        says: usize,
+        agent: SocketAddr,
+    ) -> io::Result<()> {
+        let class = |class: &Class| {
+            let effect = match class.effect {
+                Effect::Safe => "retryable",
+                Effect::Unsafe => "fragile",
+            };
+            json!({"Name": class.name, "Aim": milliseconds(class.aim),
+                   "Deadline": milliseconds(class.deadline), "Effect": effect, "Group": "all",
+                   "Importance": class.worth})
+        };
+        let classes: Vec<_> = script.classes.iter().map(class).collect();
+        let nature = &script.nodes.natures[0];
+        let zones: Vec<&str> = match script.fleet.zones.as_slice() {
+            [] => vec!["a"],
+            zones => zones.iter().map(String::as_str).collect(),
+        };
+        let config = json!({
+            "name": format!("b{}", balancer + 1),
+            "listen": address.to_string(),
+            "discovery": agent.to_string(),
+            "seed": format!("{:x}", balancer + 1),
+            "limits": {"cores": 1.0, "memory_mb": script.fleet.memory_mb,
+                       "sockets": script.fleet.sockets},
+            "settings": {
+                "Balancers": says, "Tick": 5.0, "RegistryMode": "automatic", "Zones": zones,
+                "Zone": script.zone(balancer), "MachineTypes": ["node"], "Services": classes,
+                "PolicyLimits": {
+                    "MaxAttempts": 4, "SecondCopies": true, "Cancelling": true,
+                    "ConnectTimeout": 250.0, "Keepalive": 15_000.0, "RetryAfter": true,
+                    "MaxRetryAfter": 1000.0, "MaxOpen": 1000
+                },
+                "Safety": {
+                    "AskEvery": 10_000.0, "Cold": milliseconds(nature.warm.0),
+                    "ColdFrom": nature.cold_from, "DrainGrace": DRAIN.as_millis() as f64,
+                    "FallMultiple": nature.multiple, "TipAfter": milliseconds(nature.window.0)
+                }
+            }
+        });
+        self.replace("config.json", &config.to_string())
+    }
+
+    /// A configuration that breaks off.
+    pub fn spoil(&self) -> io::Result<()> {
+        if self.path("config.json").exists() {
+            return self.replace("config.json", "{\"name\": \"b");
+        }
         self.replace("site.toml", "[limits]\nsockets = \"many\n[[listener]]\n")
     }
 
--- a/crates/sableloom/tests/fleet/faults.rs
+++ b/crates/sableloom/tests/fleet/faults.rs
@@ -1,6 +1,6 @@
 //! Each fault, and the four rules.
 
-use crate::rehearse;
+use crate::{rehearse, rehearse_with};
 
 /// SIGKILL at the moment when a redeem is out through the balancer: it is not sent again by anyone, its
 /// client learns nothing, and the others go on.
@@ -392,3 +392,58 @@
     assert_eq!((breaches.doubled, breaches.refused_ran, breaches.invented), (0, 0, 0));
     assert!(run.served_by(0) > 0 && run.served_by(1) > 0);
 }
+
+/// The platform's mode, with discovery: each balancer's agent is told another list at another time, one
+/// breaks its answers off, one is told nothing for a while; a balancer and a node are killed meanwhile.
+#[test]
+fn discovery_that_is_late_stale_and_broken_doubles_and_loses_nothing() {
+    let run = rehearse_with(
+        4,
+        4,
+        80,
+        6,
+        r#"
+        list_late = { least_ms = 0, most_ms = 600 }
+        [[event]]
+        at_ms = 800
+        do = "list-stale"
+        who = "b1"
+        for_ms = 3000
+        [[event]]
+        at_ms = 800
+        do = "list-bad"
+        who = "b2"
+        for_ms = 2000
+        [[event]]
+        at_ms = 1000
+        do = "node-drain"
+        who = "n1"
+        for_ms = 2500
+        [[event]]
+        at_ms = 1500
+        do = "kill"
+        who = "b3"
+        when = "effect-out"
+        back = { least_ms = 500, most_ms = 500 }
+        [[event]]
+        at_ms = 2000
+        do = "node-kill"
+        who = "n2"
+        back = { least_ms = 500, most_ms = 500 }
+        [[event]]
+        at_ms = 3000
+        do = "bad-site"
+        who = "b4"
+        for_ms = 500
+        "#,
+        |_| {},
+        "lists = \"discovery\"",
+    )
+    .expect("it is played");
+    run.is_sound();
+    assert!(run.whole().caught >= 1, "nothing was out at the kill: {:?}", run.whole());
+    assert!(run.logs[3].contains("SIGHUP; nothing is changed"), "{}", run.logs[3]);
+    assert!((0..4).all(|b| run.served_by(b) > 0));
+    // In this mode there is no status to ask for, and nobody is asked.
+    assert!(run.report.statuses.iter().all(Option::is_none));
+}
--- a/crates/sableloom/tests/fleet/main.rs
+++ b/crates/sableloom/tests/fleet/main.rs
@@ -95,10 +95,11 @@
     seconds: u32,
     more: &str,
     options: impl FnOnce(&mut Options),
+    fleet: &str,
 ) -> Result<Run, String> {
     let text = format!(
         "name = \"test\"\nseconds = {seconds}\n{TOP}\n[load]\nper_second = {per_second}\n\
-         [fleet]\nbalancers = {balancers}\n[nodes]\ncount = {nodes}\nper_second = 100\nwarm_ms = 2000\n{more}\n"
+         [fleet]\nbalancers = {balancers}\n{fleet}\n[nodes]\ncount = {nodes}\nper_second = 100\nwarm_ms = 2000\n{more}\n"
     );
     let script = read("test.toml", text.as_bytes()).unwrap_or_else(|wrong| {
         panic!("{}", wrong.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))
@@ -123,5 +124,5 @@
 }
 
 fn rehearse(balancers: usize, nodes: usize, per_second: u32, seconds: u32, more: &str) -> Run {
-    rehearse_with(balancers, nodes, per_second, seconds, more, |_| {}).expect("it is played")
+    rehearse_with(balancers, nodes, per_second, seconds, more, |_| {}, "").expect("it is played")
 }
--- a/crates/sableloom/tests/fleet/rig.rs
+++ b/crates/sableloom/tests/fleet/rig.rs
@@ -50,9 +50,17 @@
         (PathBuf::from("/nonexistent/sableloom"), &["b3 can't start", "No such file"][..]),
     ] {
         let more = "[[process]]\nwho = \"b3\"\nbinary = \"bad\"\n";
-        let failed = rehearse_with(4, 2, 10, 1, more, |options| {
-            options.binaries.insert("bad".to_string(), path);
-        });
+        let failed = rehearse_with(
+            4,
+            2,
+            10,
+            1,
+            more,
+            |options| {
+                options.binaries.insert("bad".to_string(), path);
+            },
+            "",
+        );
         let error = failed.err().expect("it can't be played");
         assert!(says.iter().all(|part| error.contains(part)), "{error}");
     }
@@ -65,7 +73,7 @@
     });
     assert_eq!(left.collect::<Vec<_>>(), Vec::<u32>::new());
     let unnamed =
-        rehearse_with(2, 2, 10, 1, "[[process]]\nwho = \"b1\"\nbinary = \"old\"\n", |_| {});
+        rehearse_with(2, 2, 10, 1, "[[process]]\nwho = \"b1\"\nbinary = \"old\"\n", |_| {}, "");
     assert!(unnamed.err().is_some_and(|e| e.contains("--binary old=PATH")));
 }
 
@@ -80,9 +88,17 @@
     );
     let ends = script_file(&own.0, "ends", &text);
     let more = "[[process]]\nwho = \"b2\"\nbinary = \"ends\"\n";
-    let run = rehearse_with(3, 2, 30, 3, more, |options| {
-        options.binaries.insert("ends".to_string(), ends);
-    });
+    let run = rehearse_with(
+        3,
+        2,
+        30,
+        3,
+        more,
+        |options| {
+            options.binaries.insert("ends".to_string(), ends);
+        },
+        "",
+    );
     let run = run.expect("it is played");
     assert!(matches!(run.report.verdict, Verdict::Unmet(_)), "{:?}", run.report.verdict);
     assert!(
@@ -106,7 +122,7 @@
 /// Far more processes than cores: the run counts or is void, and is never a false verdict.
 #[test]
 fn sixty_four_processes_are_judged_rightly_or_not_at_all() {
-    let run = rehearse_with(64, 2, 60, 2, "", |_| {}).expect("it is played");
+    let run = rehearse_with(64, 2, 60, 2, "", |_| {}, "").expect("it is played");
     assert!(!matches!(run.report.verdict, Verdict::Unmet(_)), "{:?}", run.report.verdict);
     assert_eq!(run.report.account.breaches.doubled, 0);
     assert_eq!(run.whole().asked, run.whole().served, "{:?}", run.whole());
@@ -160,3 +176,60 @@
     rig.wait().expect("ended");
     eventually("all four are gone", || !started.iter().any(|pid| runs(*pid)));
 }
+
+/// The command: its exit codes, its files, and two runs beside each other.
+#[test]
+fn the_command_tells_by_its_exit_code_and_leaves_a_report() {
+    let out = Out::new();
+    fs::create_dir_all(&out.0).expect("a folder");
+    let script = out.0.join("script.toml");
+    let rehearse = |text: &str, more: &[&str]| {
+        fs::write(&script, text).expect("a script");
+        let output = Command::new(program())
+            .arg("rehearse")
+            .arg(&script)
+            .args(more)
+            .env_remove("ROUTER_CONFIG")
+            .output()
+            .expect("it runs");
+        let said =
+            String::from_utf8_lossy(&output.stdout) + String::from_utf8_lossy(&output.stderr);
+        (output.status.code(), said.into_owned())
+    };
+    let folder = |name: &str| out.0.join(name).display().to_string();
+    let (first, second) = (folder("first"), folder("second"));
+    let good = format!(
+        "name = \"short\"\nseconds = 1\n{}\n[load]\nper_second = 40\n[fleet]\nbalancers = 2\n\
+         [nodes]\ncount = 2\nper_second = 100\n",
+        crate::TOP
+    );
+    let (code, said) = rehearse(&good, &["--out", &first]);
+    assert_eq!(code, Some(0), "{said}");
+    assert!(said.contains("verdict: all that was expected holds"), "{said}");
+    let unmet = format!(
+        "{good}[expect]\nserved_least = 1.0\n[[event]]\nat_ms = 0\ndo = \"node-kill\"\nwho = \"all\"\n"
+    );
+    let (code, said) = rehearse(&unmet, &["--out", &second, "--beside", &first, "--seed", "3"]);
+    assert_eq!(code, Some(1), "{said}");
+    assert!(said.contains("whole: served 0.000, expected 1 at least"), "{said}");
+    assert!(said.contains("beside short, seed 1") && said.contains("-1.000"), "{said}");
+    for (folder, name) in
+        [(&first, "report.html"), (&second, "report.html"), (&second, "beside.html")]
+    {
+        let page = fs::read_to_string(Path::new(folder).join(name)).expect(name);
+        assert!(page.matches("<svg").count() >= 3 && page.ends_with("</html>\n"), "{name}");
+    }
+    let wrong = good.replace("seconds = 1", "secnds = 1");
+    let (code, said) = rehearse(&wrong, &[]);
+    assert_eq!(code, Some(2), "{said}");
+    assert!(
+        said.contains("script.toml:2:1: field `secnds`: unknown field; did you mean `seconds`?"),
+        "{said}"
+    );
+    let (code, said) = rehearse(&good, &["--beside", &folder("nothing")]);
+    assert_eq!(code, Some(2), "{said}");
+    let (code, said) = rehearse(&good, &["--binary", "old"]);
+    assert!(code == Some(2) && said.contains("expected NAME=PATH"), "{said}");
+    let (code, said) = rehearse(&unmet, &["--timeline"]);
+    assert!(code == Some(0) && said.contains("0.000 s  node-stop n2"), "{said}");
+}
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -2,6 +2,7 @@
 //! that is wrong out; no I/O.
 
 mod change;
+mod field;
 mod read;
 mod shadow;
 
--- a/crates/site/src/read.rs
+++ b/crates/site/src/read.rs
@@ -5,11 +5,9 @@
 use sableloom_types::settings::{Effect, Reports};
 use sha2::{Digest, Sha256};
 
-use crate::{
-    Class, ColdStart, Limits, Listener, Locality, Place, Pool, Protocol, Route, Site, Target,
-};
+use crate::field::{HOUR_MS, Named, header_name, index, new_name, place};
+use crate::{Class, ColdStart, Limits, Listener, Locality, Pool, Protocol, Route, Site, Target};
 
-pub(crate) const HOUR_MS: f64 = 3_600_000.0;
 /// Methods that can be carried (RFC 9110, section 9.3; RFC 5789). CONNECT and TRACE are for the
 /// hop itself; the answer to HEAD has a length without a body, which is not carried.
 const METHODS: [&str; 6] = ["GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
@@ -37,12 +35,6 @@
     std::iter::once(0).chain(breaks).collect()
 }
 
-pub(crate) fn place(table: &Table<'_>, starts: &[usize]) -> Place {
-    let here = table.here();
-    let line = starts.partition_point(|start| *start <= here.span.start);
-    Place { span: here.span, line, field: here.field }
-}
-
 fn site(root: &Table<'_>, starts: &[usize]) -> Option<Site> {
     let limits = limits(root.table("limits"));
     let locality = locality(root.table("locality"));
@@ -143,18 +135,6 @@
     listeners
 }
 
-pub(crate) type Named<T> = Vec<(String, T)>;
-
-/// A name that is not yet taken.
-pub(crate) fn new_name<T>(table: &Table<'_>, taken: &Named<T>) -> Option<String> {
-    let name = table.need_name("name")?;
-    if taken.iter().any(|(other, _)| *other == name.value) {
-        table.wrong(&name, format!("{:?} is named twice", name.value), None);
-        return None;
-    }
-    Some(name.value)
-}
-
 fn classes(root: &Table<'_>, starts: &[usize]) -> Named<Class> {
     let mut classes: Named<Class> = Vec::new();
     let tables = root.tables("class");
@@ -353,20 +333,6 @@
     routes
 }
 
-pub(crate) fn index<T>(
-    table: &Table<'_>,
-    name: &Found<String>,
-    known: &Named<T>,
-    what: &str,
-) -> Option<usize> {
-    let at = known.iter().position(|(other, _)| *other == name.value);
-    if at.is_none() {
-        let help = instead(&name.value, known.iter().map(|(name, _)| name.as_str()));
-        table.wrong(name, format!("no {what} {:?}", name.value), Some(help));
-    }
-    at
-}
-
 /// `side` are pools that routes don't lead to.
 fn target(table: &Table<'_>, pools: &Named<Pool>, side: &[String]) -> Option<Target> {
     let (pool, refuse) = (table.text("pool"), table.choice("refuse", &REFUSALS));
@@ -453,14 +419,3 @@
     }
     headers
 }
-
-/// A header's name, in lower case.
-pub(crate) fn header_name(table: &Table<'_>, name: &Found<String>) -> Option<String> {
-    // RFC 9110, section 5.6.2.
-    let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
-    let fits = !name.value.is_empty() && name.value.bytes().all(token);
-    if !fits {
-        table.wrong(name, format!("{:?} is no header's name", name.value), None);
-    }
-    fits.then(|| name.value.to_ascii_lowercase())
-}
--- a/crates/site/src/shadow.rs
+++ b/crates/site/src/shadow.rs
@@ -4,7 +4,7 @@
 use sableloom_shadow::{Bounds, By, Pattern, Rules};
 use sableloom_types::settings::{Effect, span};
 
-use crate::read::{HOUR_MS, Named, header_name, index, new_name, place};
+use crate::field::{HOUR_MS, Named, header_name, index, new_name, place};
 use crate::{Class, Pool, Shadow};
 
 /// Fields that are not copied where nothing is said: whoever holds them may act for the member
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,6 @@
 mod shell;
 mod valve;
 
-pub use agent::agent;
+pub use agent::{Agent, Member, Mood, agent};
 pub use node::Node;
 pub use shell::{Arrival, Class, Lateness, Options, Shell};
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -31,21 +31,30 @@
         LocalSet::new().block_on(&runtime, async move {
             let service = Rc::new(make());
             let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
-            while let Ok((stream, _)) = listener.accept().await {
-                let _ = stream.set_nodelay(true);
-                let service = service.clone();
-                spawn_local(async move {
-                    let answer = |request| {
-                        let service = service.clone();
-                        async move { Ok::<_, Infallible>(service(request).await) }
-                    };
-                    // A connection that breaks is its client's to deal with.
-                    let _ = http1::Builder::new()
-                        .serve_connection(TokioIo::new(stream), service_fn(answer))
-                        .await;
-                });
-            }
+            accept(listener, service).await;
         });
     });
     Ok(address)
 }
+
+/// Serves a listener's connections until it fails.
+pub(crate) async fn accept<S, F>(listener: tokio::net::TcpListener, service: Rc<S>)
+where
+    S: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Answer>,
+{
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        let service = service.clone();
+        spawn_local(async move {
+            let answer = |request| {
+                let service = service.clone();
+                async move { Ok::<_, Infallible>(service(request).await) }
+            };
+            // A connection that breaks is its client's to deal with.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service_fn(answer))
+                .await;
+        });
+    }
+}
