A storm, a ramp or a shift that is to come several times comes several times

The arrivals were drawn from each event's first moment alone (arrivals.rs). Both take their moments from one place now, and the bound of requests counts them all.

--- a/crates/rehearsal/src/arrivals.rs
+++ b/crates/rehearsal/src/arrivals.rs
@@ -26,8 +26,10 @@
     let mut rate = script.load.per_second;
     for event in &script.events {
         if let Deed::Load { per_second, over } = event.deed {
-            let part = (at - event.at) as f64 / over.max(1) as f64;
-            rate += (per_second - rate) * part.clamp(0.0, 1.0);
+            for moment in event.moments() {
+                let part = (at - moment) as f64 / over.max(1) as f64;
+                rate += (per_second - rate) * part.clamp(0.0, 1.0);
+            }
         }
     }
     rate
@@ -37,9 +39,10 @@
     let zones = script.fleet.zones.len().max(1);
     let mut weights = vec![0.0; zones];
     (0..script.fleet.balancers).for_each(|b| weights[script.zone(b)] += 1.0);
-    for event in script.events.iter().filter(|event| event.at <= at) {
+    for event in &script.events {
         if let Deed::Shift { zone, times } = event.deed {
-            weights[zone] *= times;
+            let past = event.moments().filter(|moment| *moment <= at).count();
+            weights[zone] *= times.powi(past as i32);
         }
     }
     weights
@@ -82,9 +85,11 @@
     }
     for event in &script.events {
         if let Deed::Storm { count, over, class } = event.deed {
-            for _ in 0..count {
-                let at = event.at + (rng.rand_float() * over as f64) as i64;
-                all.push(request(at, class, &mut rng));
+            for moment in event.moments() {
+                for _ in 0..count {
+                    let at = moment + (rng.rand_float() * over as f64) as i64;
+                    all.push(request(at, class, &mut rng));
+                }
             }
         }
     }
@@ -104,7 +109,7 @@
 /// How many requests a script comes to, at most about.
 pub(crate) fn most_requests(script: &Script) -> f64 {
     let storms = script.events.iter().map(|event| match event.deed {
-        Deed::Storm { count, .. } => count as f64,
+        Deed::Storm { count, .. } => count as f64 * f64::from(event.every.0),
         _ => 0.0,
     });
     most_rate(script) * script.length as f64 / S as f64 + storms.sum::<f64>()
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -380,6 +380,14 @@
     pub deed: Deed,
 }
 
+impl Event {
+    /// The moments at which it happens.
+    pub fn moments(&self) -> impl Iterator<Item = i64> + use<> {
+        let (at, (times, apart)) = (self.at, self.every);
+        (0..times).map(move |i| at + i64::from(i) * apart)
+    }
+}
+
 /// A part of the time.
 #[derive(Clone, Debug)]
 pub struct Phase {
--- a/crates/rehearsal/src/timeline.rs
+++ b/crates/rehearsal/src/timeline.rs
@@ -204,9 +204,8 @@
         script.groups.iter().map(|group| members(script, group, &mut rng)).collect();
     let mut steps = Vec::new();
     for event in &script.events {
-        let (times, apart) = event.every;
-        for i in 0..times {
-            expand(script, event, event.at + i64::from(i) * apart, &groups, &mut rng, &mut steps);
+        for at in event.moments() {
+            expand(script, event, at, &groups, &mut rng, &mut steps);
         }
     }
     // Steps of one time keep the order in which the script has them.
--- a/crates/rehearsal/tests/draws.rs
+++ b/crates/rehearsal/tests/draws.rs
@@ -107,6 +107,8 @@
         count = 500
         over_ms = 100
         class = "redeem"
+        every_ms = 10000
+        times = 2
         "#,
         100,
     );
@@ -125,6 +127,7 @@
     let redeems = |from, to| between(from, to).filter(|a| a.class == 1).count() as f64;
     near(redeems(60, 100) / rate(60, 100) / 40.0, 0.25, "redeems");
     near(redeems(20, 21) - 50.0, 500.0, "the storm");
+    near(redeems(30, 31) - 50.0, 500.0, "and again");
     let b = |from, to| {
         between(from, to).filter(|a| a.zone == 1).count() as f64 / between(from, to).count() as f64
     };
