The node against Erlang's waits by the mean of eight runs, not by one

Seen in a fresh clone: M/M/8 at 0.8 off by 2.2% with seed 11, where 2% is asked. So the single run was noise.

--- a/crates/emulator/tests/theory.rs
+++ b/crates/emulator/tests/theory.rs
@@ -46,11 +46,20 @@
     (spent / f64::from(ended) - worked / N as f64) / WORK
 }
 
-fn near(measured: f64, theory: f64, what: &str) {
+/// Several runs side by side: at a high load waits hang together for long, and one run's mean is off by
+/// one to two hundredths.
+fn near(measured: impl Fn(u64) -> f64 + Sync, theory: f64, what: &str) {
+    const RUNS: u64 = 8;
+    let measured = &measured;
+    let runs: Vec<f64> = std::thread::scope(|scope| {
+        let running: Vec<_> = (1..=RUNS).map(|seed| scope.spawn(move || measured(seed))).collect();
+        running.into_iter().map(|run| run.join().expect("a run")).collect()
+    });
+    let measured = runs.iter().sum::<f64>() / RUNS as f64;
     let off = measured / theory - 1.0;
     assert!(
         off.abs() < 0.02,
-        "{what}: {measured:.4} mean works, theory {theory:.4}, off by {off:.3}"
+        "{what}: {measured:.4} mean works, theory {theory:.4}, off by {off:.4}: {runs:.4?}"
     );
 }
 
@@ -70,7 +79,11 @@
 fn waits_before_several_slots_are_those_of_m_m_c() {
     for (slots, load) in [(1, 0.6), (3, 0.7), (8, 0.8)] {
         let theory = erlang_c(slots, load) / (slots as f64 * (1.0 - load));
-        near(mean_wait(slots, load, exponential, 11), theory, &format!("M/M/{slots} at {load}"));
+        near(
+            |seed| mean_wait(slots, load, exponential, seed),
+            theory,
+            &format!("M/M/{slots} at {load}"),
+        );
     }
 }
 
@@ -78,6 +91,6 @@
 fn waits_before_even_work_are_those_of_m_d_1() {
     for load in [0.5, 0.75] {
         let theory = load / (2.0 * (1.0 - load));
-        near(mean_wait(1, load, |_| 1.0, 12), theory, &format!("M/D/1 at {load}"));
+        near(|seed| mean_wait(1, load, |_| 1.0, seed), theory, &format!("M/D/1 at {load}"));
     }
 }
