The end of a deed that waited for its condition is as much later

Looked at: conditions on links that others' deeds make rare may never come; and the cut's end was at a fixed time, so that one which came late would have stayed for good (timeline.rs, play.rs).

--- a/crates/rehearsal/src/timeline.rs
+++ b/crates/rehearsal/src/timeline.rs
@@ -77,6 +77,9 @@
     pub act: Act,
     /// Whether it ends something, or begins it.
     pub ends: bool,
+    /// The deed that begins something and the one that ends it have a number in common: if the first has
+    /// to wait for its condition, the second is as much later.
+    pub pair: Option<usize>,
 }
 
 /// All that is done, in order.
@@ -223,7 +226,9 @@
 ) {
     let mut step = |at, act, ends| {
         let when = if ends { None } else { event.when };
-        steps.push(Step { at, when, act, ends });
+        // An end follows its beginning at once in the list, which is put in order later.
+        let pair = if ends { steps.len() - 1 } else { steps.len() };
+        steps.push(Step { at, when, act, ends, pair: Some(pair) });
     };
     let who = groups.get(event.who).map(Vec::as_slice).unwrap_or_default();
     match &event.deed {
@@ -232,6 +237,9 @@
             for (&b, back) in who.iter().zip(back.iter().cycle()) {
                 step(at + between(rng, *back), Act::Start(b, None), true);
             }
+            // One loss and several starts: no pair, and no condition that it could wait for.
+            let several = steps.len().saturating_sub(who.len() + 1);
+            steps[several..].iter_mut().for_each(|step| (step.when, step.pair) = (None, None));
             return;
         }
         Deed::Load { per_second, over } => {
--- a/crates/rehearsal/tests/draws.rs
+++ b/crates/rehearsal/tests/draws.rs
@@ -147,6 +147,10 @@
         let some = &t.groups[0];
         prop_assert_eq!(some.len(), 4);
         prop_assert!(some.windows(2).all(|w| w[0] < w[1]) && some[3] < 9);
+        for end in t.steps.iter().filter(|step| step.ends && step.pair.is_some()) {
+            let begins: Vec<_> = t.steps.iter().filter(|s| !s.ends && s.pair == end.pair).collect();
+            prop_assert!(begins.len() == 1 && begins[0].at <= end.at, "{}: {}", end.act, begins.len());
+        }
         for step in &t.steps {
             match &step.act {
                 Act::Kill(b) => {
