The test of a balancer that ends unasked leaves no process behind

Seen at the end: ten idle balancers, one for each run of the fleet tests. The test's shell started the program in its background and ended the wrong process ($! was that of its own wait), and what a program starts is not ended with it. The shell ends what it started now; none is left after the test.

--- a/crates/sableloom/tests/fleet/rig.rs
+++ b/crates/sableloom/tests/fleet/rig.rs
@@ -83,7 +83,7 @@
     let own = Out::new();
     // It runs the program, and ends a second after it.
     let text = format!(
-        "#!/bin/sh\n\"{}\" \"$@\" &\nwait $! & sleep 1\nkill $!\nkill %1\nexit 9\n",
+        "#!/bin/sh\n\"{}\" \"$@\" &\nown=$!\nsleep 1\nkill $own\nwait $own\nexit 9\n",
         program().display()
     );
     let ends = script_file(&own.0, "ends", &text);
