Nodes, links and clients wait for events where they looked at a clock

A node with nothing due woke each second, and a link and a node held themselves by a weak reference that never was weak: both just wait now. The clients' end is their tasks' end, not a look each 5 ms, and one that panics is told. The node's key hash was a second copy of types' stable_hash. A balancer killed while it is stopped stays out of order when its wake comes due: the outage ended there before, and what it had would have counted as lost.

What still sleeps waits for a moment that the script or a link's delay names; none of it is proof.

--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -16,7 +16,7 @@
 use rustix::time::{ClockId, clock_gettime};
 use sableloom_rehearsal::{Answer, Arrival, Clients, Effect, Try};
 use tokio::net::TcpStream;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinSet, LocalSet, spawn_local};
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::doors::Doors;
@@ -103,7 +103,6 @@
     idle: RefCell<Vec<Vec<Sender>>>,
     tries: RefCell<Vec<Try>>,
     unsent: Cell<u64>,
-    open: Cell<usize>,
 }
 
 /// What came of one sending.
@@ -123,10 +122,10 @@
         idle: RefCell::new((0..balancers).map(|_| Vec::new()).collect()),
         tries: RefCell::default(),
         unsent: Cell::new(0),
-        open: Cell::new(0),
         crowd,
     });
     let crowd = &thread.crowd;
+    let mut visits = JoinSet::new();
     for number in (rest..crowd.arrivals.len()).step_by(threads.max(1)) {
         let moment = crowd.start + Duration::from_micros(crowd.arrivals[number].at as u64);
         if moment > Instant::now() {
@@ -135,15 +134,14 @@
         // It grows as it has to: no time is out of its bounds.
         let _ = late.record(moment.elapsed().as_micros() as u64);
         let client = thread.clone();
-        client.open.set(client.open.get() + 1);
-        spawn_local(async move {
-            client.visit(number).await;
-            client.open.set(client.open.get() - 1);
-        });
+        visits.spawn_local(async move { client.visit(number).await });
+        while let Some(ended) = visits.try_join_next() {
+            ended.expect("a visit ends");
+        }
     }
     // Each ends by its own time; nothing is awaited without one.
-    while thread.open.get() > 0 {
-        sleep(Duration::from_millis(5)).await;
+    while let Some(ended) = visits.join_next().await {
+        ended.expect("a visit ends");
     }
     let processor = clock_gettime(ClockId::ThreadCPUTime);
     let processor = Duration::new(processor.tv_sec as u64, processor.tv_nsec as u32);
--- a/crates/rig/src/net.rs
+++ b/crates/rig/src/net.rs
@@ -77,10 +77,11 @@
             balancer,
         });
         link.refresh();
-        let weak = Rc::downgrade(&link);
+        // It is kept as long as the `LocalSet` runs.
+        let own = link.clone();
         spawn_local(async move {
-            while let Some(link) = weak.upgrade() {
-                if let Err(e) = link.keep().await {
+            loop {
+                if let Err(e) = own.keep().await {
                     // For want of descriptors, say: the run will tell of it as of a node that refuses.
                     eprintln!("sableloom: rehearse: a link's gate: {e}");
                     tokio::time::sleep(Duration::from_millis(100)).await;
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -617,6 +617,8 @@
         // First that it is out of order, so that no client takes its end for something else.
         balancer.out_since.get_or_insert_with(Instant::now);
         balancer.life = Life::Killed;
+        // A wake that was to come finds nobody: it must not end the outage.
+        balancer.frozen = false;
         balancer.lose = keep;
         balancer.start_again = false;
         self.doors.died(b);
--- a/crates/standin/src/shell.rs
+++ b/crates/standin/src/shell.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioIo;
 use oorandom::Rand64;
 use sableloom_emulator::{Ask, Done, Ending, Fault, Nature, Node, Phase, noise};
+use sableloom_types::settings::stable_hash;
 use sableloom_types::{Span, Time};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::{Notify, oneshot};
@@ -167,29 +168,27 @@
             classes,
             changed: Notify::new(),
         });
-        let weak = Rc::downgrade(&shell);
+        // It runs as long as the `LocalSet` does, and wakes for what is due or has changed, nothing else.
+        let own = shell.clone();
         spawn_local(async move {
-            while let Some(shell) = weak.upgrade() {
-                let due = shell.turn();
-                // While it waits the node may be let go of.
-                let at = due.map(|at| tokio::time::Instant::from_std(shell.instant(at)));
+            loop {
+                let due = own.turn().map(|at| tokio::time::Instant::from_std(own.instant(at)));
                 let woken = async {
-                    match at {
-                        Some(at) => tokio::time::sleep_until(at).await,
-                        None => tokio::time::sleep(Duration::from_secs(1)).await,
+                    match due {
+                        Some(due) => tokio::time::sleep_until(due).await,
+                        None => std::future::pending().await,
                     }
+                    due.map(|due| due.elapsed())
                 };
                 tokio::select! {
-                    () = woken => {
-                        if let Some(at) = at {
-                            let late = at.elapsed();
-                            let lateness = &mut shell.inside.borrow_mut().lateness;
-                            lateness.wakes += 1;
-                            lateness.late += u64::from(late > Lateness::LATE);
-                            lateness.worst = lateness.worst.max(late);
-                        }
+                    late = woken => {
+                        let late = late.unwrap_or_default();
+                        let lateness = &mut own.inside.borrow_mut().lateness;
+                        lateness.wakes += 1;
+                        lateness.late += u64::from(late > Lateness::LATE);
+                        lateness.worst = lateness.worst.max(late);
                     }
-                    () = shell.changed.notified() => {}
+                    () = own.changed.notified() => {}
                 }
             }
         });
@@ -394,7 +393,7 @@
         let (Some(id), Some(class)) = (text("x-trace-id").map(str::to_string), class) else {
             return Ok(plain(StatusCode::NOT_FOUND, String::new()));
         };
-        let key = text("x-object").map(hash);
+        let key = text("x-object").map(stable_hash);
         let (attempt, ending) = self.begin(id.clone(), class, key, from, sent.get());
         let _attended = Attended { shell: self.clone(), attempt };
         let ending = ending.await;
@@ -428,12 +427,6 @@
     full
 }
 
-/// FNV-1a, 64 bits: a key's number, the same in every run.
-fn hash(text: &str) -> u64 {
-    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, step)
-}
-
 fn plain(status: StatusCode, body: String) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::from(body));
     *answer.status_mut() = status;
