How much of the servers is a balancer's own: proofs of absence, parts that add up to one

A balancer knew a number and nothing else. With the members' talk it could know who is there, but silence is no proof that somebody does not act: whatever a cut off balancer goes on sending, nobody else may send on top. So a part grows only by a proof that a member's own system gives, that no process holds its address, and one that starts waits until no proof against it can hold.

--- /dev/null
+++ b/crates/fleet/src/core.rs
@@ -0,0 +1,150 @@
+//! What is said among members, and the part that follows: datagrams, answers of systems and time in;
+//! datagrams, questions, changes and the part out.
+
+use std::net::SocketAddr;
+
+use sableloom_members::{Change, Fleet, Health, Key, Listed, Out as Said, Standing as Place};
+use sableloom_standing::{Part, Standing};
+use sableloom_types::Time;
+
+/// What a member is told at its start.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The fleet's name.
+    pub fleet: String,
+    /// Its own.
+    pub own: String,
+    /// Times of the talk.
+    pub talk: sableloom_members::Times,
+    /// Times of the part.
+    pub part: sableloom_standing::Times,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, Default)]
+pub struct Out {
+    /// Datagrams to send, and where.
+    pub datagrams: Vec<(SocketAddr, Vec<u8>)>,
+    /// Whether any process holds these addresses is to be asked of their systems.
+    pub knocks: Vec<(Key, SocketAddr)>,
+    /// Changes of the view, in their order.
+    pub changes: Vec<Change>,
+}
+
+/// One member.
+#[derive(Debug)]
+pub struct Core {
+    members: Fleet,
+    standing: Standing,
+    part: Part,
+    now: Time,
+}
+
+impl Core {
+    /// A member whose process has just taken its address. `life` is greater than that of the process before.
+    pub fn new(setup: &Setup, life: u32, others: &[Listed], seed: u64, now: Time) -> Self {
+        let Setup { fleet, own, talk, part } = setup;
+        let members = Fleet::new(fleet, own, life, others, *talk, seed, now);
+        let standing = Standing::new(now, keys(&members), *part);
+        let part = standing.part(now);
+        Self { members, standing, part, now }
+    }
+
+    /// It begins: all are called and, where nobody answers, their systems are asked.
+    pub fn start(&mut self, now: Time, out: &mut Out) {
+        self.talk(now, out, |members, said| members.greet(now, said));
+    }
+
+    /// A datagram has come.
+    pub fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Out) {
+        let whose = self.members.at(from);
+        if let Some(key) = whose {
+            self.standing.sign(now, key);
+        }
+        self.talk(now, out, |members, said| members.datagram(now, from, bytes, said));
+        let counted = |key: &Key| {
+            let peer = self.members.peers().iter().find(|peer| peer.key == *key)?;
+            (peer.heard == Some(now)).then_some((peer.key, peer.listed))
+        };
+        if let Some((key, listed)) = whose.as_ref().and_then(counted) {
+            self.standing.spoke(now, key, u32::from(listed));
+            self.part = self.standing.part(now);
+        }
+    }
+
+    /// A member's system has said that no process holds its address; it was asked at this time.
+    pub fn refused(&mut self, now: Time, of: Key, asked: Time, out: &mut Out) {
+        self.standing.refused(of, asked);
+        self.talk(now, out, |members, said| members.refused(now, of, asked, said));
+    }
+
+    /// It is time.
+    pub fn tick(&mut self, now: Time, out: &mut Out) {
+        self.talk(now, out, |members, said| members.tick(now, said));
+    }
+
+    /// The operators' list is this from now on, without itself.
+    pub fn list(&mut self, now: Time, others: &[Listed], out: &mut Out) {
+        self.talk(now, out, |members, said| {
+            members.list(now, others, said);
+            members.greet(now, said);
+        });
+        self.standing.list(keys(&self.members));
+        self.part = self.standing.part(now);
+    }
+
+    /// It leaves on purpose, with nothing left to do.
+    pub fn leave(&mut self, out: &mut Out) {
+        let now = self.now;
+        self.talk(now, out, |members, said| members.leave(said));
+    }
+
+    fn talk(&mut self, now: Time, out: &mut Out, what: impl FnOnce(&mut Fleet, &mut Said)) {
+        self.now = now;
+        let mut said = Said::default();
+        what(&mut self.members, &mut said);
+        if said.changes.contains(&Change::Twin) {
+            self.standing.twin();
+        }
+        self.standing.woke(self.members.standing() == Place::JustWoken);
+        out.datagrams.append(&mut said.datagrams);
+        out.changes.append(&mut said.changes);
+        let members = &self.members;
+        let peer = |key: Key| members.peers().iter().find(|peer| peer.key == key);
+        let missing = |key| peer(key).is_some_and(|peer| peer.health != Health::Alive);
+        let asked = self.standing.ask(now, missing);
+        let at = asked.into_iter().filter_map(|key| Some((key, peer(key)?.address)));
+        out.knocks.extend(at);
+        self.part = self.standing.part(now);
+    }
+
+    /// When it has to be called next.
+    pub fn next(&self) -> Time {
+        self.members.next().min(self.standing.next(self.now))
+    }
+
+    /// The part, as it was when it was last called. [`Part::share`] says what is left of it at a time.
+    pub fn part(&self) -> Part {
+        self.part
+    }
+
+    /// The members' talk.
+    pub fn members(&self) -> &Fleet {
+        &self.members
+    }
+
+    /// What the part is made of.
+    pub fn standing(&self) -> &Standing {
+        &self.standing
+    }
+
+    /// A member's name.
+    pub fn name(&self, key: Key) -> &str {
+        let peer = self.members.peers().iter().find(|peer| peer.key == key);
+        peer.map_or("itself", |peer| &peer.name)
+    }
+}
+
+fn keys(members: &Fleet) -> Vec<Key> {
+    members.peers().iter().map(|peer| peer.key).collect()
+}
--- /dev/null
+++ b/crates/fleet/src/shell.rs
@@ -0,0 +1,221 @@
+//! Carries a member's datagrams: one socket at its own address, held from before it acts until the process
+//! ends, which is what lets others prove that it does not act once it is gone.
+
+use std::cell::RefCell;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sableloom_exchange::{Clock, Task};
+use sableloom_members::{Change, KNOCK, Key, Listed, MOST, Standing as Place};
+use sableloom_standing::{Part, Why};
+use sableloom_types::Time;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{sleep_until, timeout};
+
+use crate::core::{Core, Out, Setup};
+use crate::status::Status;
+
+/// How long the answer to a question may take. It comes from the system of the one asked, if at all.
+const ANSWERS_WITHIN: Duration = Duration::from_millis(400);
+/// Datagrams that are taken before the requests of clients have their turn.
+const TURN: usize = 64;
+
+/// What is told as it happens.
+pub trait Told {
+    /// The part has changed.
+    fn part(&self, part: Part);
+    /// Something for the log.
+    fn line(&self, line: &str);
+}
+
+/// How to run.
+pub struct Options {
+    /// What the member is told.
+    pub setup: Setup,
+    /// Its own address, where it listens.
+    pub address: SocketAddr,
+    /// The others on the list.
+    pub others: Vec<Listed>,
+    /// Greater than that of its process before.
+    pub life: u32,
+    /// What its random numbers are drawn from.
+    pub seed: u64,
+    /// The clock that all parts share.
+    pub clock: Clock,
+    /// Who is told.
+    pub told: Rc<dyn Told>,
+}
+
+/// A member that talks.
+pub struct Running {
+    core: RefCell<Core>,
+    socket: UdpSocket,
+    address: SocketAddr,
+    setup: Setup,
+    clock: Clock,
+    told: Rc<dyn Told>,
+    last: RefCell<Part>,
+    changed: Notify,
+    task: RefCell<Option<Task>>,
+}
+
+impl Running {
+    /// Takes its address and begins to talk. To be called on a `LocalSet`, before the process acts.
+    pub async fn start(options: Options) -> io::Result<Rc<Self>> {
+        let Options { setup, address, others, life, seed, clock, told } = options;
+        let socket = UdpSocket::bind(address).await?;
+        let core = Core::new(&setup, life, &others, seed, clock.now());
+        let part = core.part();
+        told.part(part);
+        let running = Rc::new(Self {
+            core: RefCell::new(core),
+            socket,
+            address,
+            setup,
+            clock,
+            told,
+            last: RefCell::new(part),
+            changed: Notify::new(),
+            task: RefCell::default(),
+        });
+        running.call(|core, now, out| core.start(now, out));
+        let own = running.clone();
+        *running.task.borrow_mut() = Some(Task::spawn(async move { own.talk().await }));
+        Ok(running)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its part now.
+    pub fn part(&self) -> Part {
+        *self.last.borrow()
+    }
+
+    /// The operators' list is this from now on, without itself.
+    pub fn list(self: &Rc<Self>, others: &[Listed]) {
+        self.call(|core, now, out| core.list(now, others, out));
+    }
+
+    /// It leaves on purpose, with nothing left to do, and says nothing from then on. It goes on holding its
+    /// address.
+    pub fn leave(self: &Rc<Self>) {
+        self.call(|core, _, out| core.leave(out));
+        self.task.borrow_mut().take();
+    }
+
+    /// Its status.
+    pub fn status(&self) -> Status {
+        Status::of(&self.core.borrow(), &self.setup.fleet, &self.setup.own, self.clock.now())
+    }
+
+    async fn talk(self: Rc<Self>) {
+        // One byte more than is allowed shows what is too long.
+        let mut buffer = [0; MOST + 1];
+        loop {
+            let next = self.clock.instant(self.core.borrow().next());
+            tokio::select! {
+                biased;
+                ready = self.socket.readable() => {
+                    if ready.is_err() {
+                        continue;
+                    }
+                    for _ in 0..TURN {
+                        match self.socket.try_recv_from(&mut buffer) {
+                            Ok((n, from)) => {
+                                self.call(|core, now, out| core.datagram(now, from, &buffer[..n], out));
+                            }
+                            // Of an earlier datagram that found nobody, say.
+                            Err(e) if e.kind() != ErrorKind::WouldBlock => {}
+                            Err(_) => break,
+                        }
+                    }
+                    tokio::task::yield_now().await;
+                }
+                () = sleep_until(next) => self.call(|core, now, out| core.tick(now, out)),
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+
+    fn call(self: &Rc<Self>, what: impl FnOnce(&mut Core, Time, &mut Out)) {
+        let mut out = Out::default();
+        let part = {
+            let mut core = self.core.borrow_mut();
+            what(&mut core, self.clock.now(), &mut out);
+            core.part()
+        };
+        for (to, bytes) in &out.datagrams {
+            // A full socket loses it, as a net does.
+            let _ = self.socket.try_send_to(bytes, *to);
+        }
+        let asked = self.clock.now();
+        for (key, at) in out.knocks {
+            spawn_local(self.clone().knock(key, at, asked));
+        }
+        self.say(&out.changes);
+        let before = self.last.replace(part);
+        if before != part {
+            if (before.balancers, before.why) != (part.balancers, part.why) {
+                self.told.line(&format!("part: {}", told(part)));
+            }
+            self.told.part(part);
+        }
+        self.changed.notify_one();
+    }
+
+    /// Asks a member's system whether any process holds its address. `asked` is before the question leaves.
+    async fn knock(self: Rc<Self>, key: Key, at: SocketAddr, asked: Time) {
+        let question = async {
+            let socket = UdpSocket::bind(SocketAddr::new(self.address.ip(), 0)).await?;
+            // Only a connected socket is told of the answer.
+            socket.connect(at).await?;
+            socket.send(&KNOCK).await?;
+            let mut buffer = [0; 1];
+            socket.recv(&mut buffer).await
+        };
+        if let Ok(Err(e)) = timeout(ANSWERS_WITHIN, question).await
+            && e.kind() == ErrorKind::ConnectionRefused
+        {
+            self.call(|core, now, out| core.refused(now, key, asked, out));
+        }
+    }
+
+    fn say(&self, changes: &[Change]) {
+        let core = self.core.borrow();
+        for change in changes {
+            let name = |key: &Key| core.name(*key);
+            self.told.line(&match change {
+                Change::Joined(key, life) => format!("{} is there, life {life}", name(key)),
+                Change::Doubted(key, by) => format!("{} is doubted, by {}", name(key), name(by)),
+                Change::Cleared(key) => format!("{} has objected", name(key)),
+                Change::Died(key, by) => format!("{} counts as dead, by {}", name(key), name(by)),
+                Change::Left(key) => format!("{} has left", name(key)),
+                Change::Standing(Place::Whole) => "hears all".to_string(),
+                Change::Standing(Place::Part { hears, of }) => format!("hears {hears} of {of}"),
+                Change::Standing(Place::Alone) => "hears nobody".to_string(),
+                Change::Standing(Place::JustWoken) => {
+                    "did not run for a while; it believes nothing until it has heard".to_string()
+                }
+                Change::Twin => {
+                    "ANOTHER PROCESS ACTS UNDER THIS NAME; each has half of a part".to_string()
+                }
+            });
+        }
+    }
+}
+
+fn told(part: Part) -> String {
+    match (part.balancers, part.why) {
+        (0, Why::Waits(n)) => format!("none until {n} others have spoken or their proofs are over"),
+        (n, Why::Woken) => format!("1 of {n}, having woken"),
+        (n, Why::Twin) => format!("1 of {n}, beside a twin"),
+        (n, _) => format!("1 of {n}"),
+    }
+}
--- a/crates/members/src/book.rs
+++ b/crates/members/src/book.rs
@@ -73,6 +73,8 @@
     pub heard: Option<Time>,
     /// What its process drew at its start, once it has told; 0 before.
     pub nonce: u32,
+    /// How many its list names, as it told last; 0 before.
+    pub listed: u16,
 }
 
 /// What one's own place in the fleet is.
--- a/crates/members/src/fleet.rs
+++ b/crates/members/src/fleet.rs
@@ -213,6 +213,7 @@
                 by: self.own,
                 heard: None,
                 nonce: 0,
+                listed: 0,
             });
             if peer.address != listed.address {
                 // Whoever is there has yet to tell what it drew.
@@ -248,6 +249,31 @@
         View { number, digest, standing, peers: self.peers.clone() }
     }
 
+    /// Whose address this is.
+    pub fn at(&self, address: SocketAddr) -> Option<Key> {
+        self.by_address.get(&address).map(|i| self.peers[*i].key)
+    }
+
+    /// The others, as they are known.
+    pub fn peers(&self) -> &[Peer] {
+        &self.peers
+    }
+
+    /// Its own place.
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    /// Which life it is in: others may have made it take a later one than it was given.
+    pub fn life(&self) -> u32 {
+        self.life
+    }
+
+    /// The view's number: one more with each change.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
     /// The view's digest.
     pub fn digest(&self) -> u32 {
         self.digest
@@ -454,6 +480,7 @@
             nonce: self.nonce,
             echo,
             digest: self.digest,
+            listed: u16::try_from(self.peers.len() + 1).unwrap_or(u16::MAX),
             body,
             news,
         };
@@ -467,7 +494,7 @@
         out.datagrams.push((address, bytes));
     }
 
-    fn number(&mut self) -> u32 {
+    fn next_seq(&mut self) -> u32 {
         self.seq = self.seq.wrapping_add(1).max(1);
         self.seq
     }
@@ -510,11 +537,12 @@
             }
             return;
         }
-        let Message { life, incarnation, nonce, body, news, .. } = message;
+        let Message { life, incarnation, nonce, listed, body, news, .. } = message;
         if life >= self.peers[i].life {
             self.learn(now, News { of: key, life, incarnation, said: Said::Alive, by: key }, out);
             self.peers[i].nonce = nonce;
             self.peers[i].heard = Some(now);
+            self.peers[i].listed = listed;
             self.place(out);
         } else {
             // Another process of that name has a later life: it is told so, and makes a later one.
@@ -547,7 +575,7 @@
             }
             Body::Ask { seq, of } => {
                 if self.relays.len() < RELAYS && of != from && self.by_key.contains_key(&of) {
-                    let own = self.number();
+                    let own = self.next_seq();
                     // It has to be told in time for the one who asked.
                     let until = now.plus(self.times.answer);
                     self.relays.push(Relay { of, seq: own, back: from, theirs: seq, until });
@@ -650,7 +678,7 @@
             let period = Span(self.times.period.0 * patience);
             self.next_probe = now.plus(period);
             self.probe = self.next_of_round().map(|of| {
-                let seq = self.number();
+                let seq = self.next_seq();
                 self.say(of, Body::Ping { seq }, out);
                 let ask_at = now.plus(Span(self.times.answer.0 * patience));
                 Probe { of, seq, ask_at, ends: self.next_probe, asked: None, silent: 0 }
@@ -685,11 +713,35 @@
         let missing: Vec<Key> = self.peers.iter().filter(missing).map(|p| p.key).collect();
         if !missing.is_empty() {
             let lot = self.rng.rand_range(0..missing.len() as u64) as usize;
-            let seq = self.number();
+            let seq = self.next_seq();
             self.say(missing[lot], Body::Ping { seq }, out);
         }
     }
 
+    /// Calls all that are not there, at once: who has just started is known to all that answer, and knows
+    /// them, within one way there and back.
+    pub fn greet(&mut self, now: Time, out: &mut Out) {
+        let missing = self.peers.iter().filter(|p| !p.health.is_there());
+        let missing: Vec<Key> = missing.map(|p| p.key).collect();
+        for key in missing {
+            let seq = self.next_seq();
+            self.say(key, Body::Ping { seq }, out);
+        }
+        self.due = Some(self.next().max(now));
+    }
+
+    /// A knock that was sent at this time found that no process holds the member's address. One that was
+    /// heard since has started after it.
+    pub fn refused(&mut self, now: Time, of: Key, sent: Time, out: &mut Out) {
+        let Some(peer) = self.peer(of).filter(|peer| peer.health.is_there()) else { return };
+        if peer.heard.is_some_and(|heard| heard >= sent) {
+            return;
+        }
+        let (life, incarnation, by) = (peer.life, peer.incarnation, self.own);
+        self.learn(now, News { of, life, incarnation, said: Said::Dead, by }, out);
+        self.due = Some(self.next().max(now));
+    }
+
     fn ask_others(&mut self, probe: Probe, out: &mut Out) {
         let fit = |p: &&Peer| p.health == Health::Alive && p.key != probe.of;
         let mut others: Vec<Key> = self.peers.iter().filter(fit).map(|p| p.key).collect();
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -11,4 +11,4 @@
 
 pub use book::{Health, Peer, Standing, View};
 pub use fleet::{Change, Fleet, Listed, Out, Times};
-pub use wire::{Body, Key, MOST, Message, News, Refused, Said, decode, encode, key_of};
+pub use wire::{Body, KNOCK, Key, MOST, Message, News, Refused, Said, decode, encode, key_of};
--- a/crates/members/src/wire.rs
+++ b/crates/members/src/wire.rs
@@ -6,6 +6,9 @@
 pub const MOST: usize = 256;
 /// Of this format. Another version is dropped whole: the first byte of every format to come.
 const VERSION: u8 = 1;
+/// No message: sent to learn whether any process holds the address, which its system answers if none does.
+/// A process that holds it says nothing.
+pub const KNOCK: [u8; 1] = [0];
 
 /// A member's name, hashed: the same at every member and in every build.
 pub type Key = u32;
@@ -97,6 +100,8 @@
     pub echo: u32,
     /// Of the sender's view.
     pub digest: u32,
+    /// How many its list names, itself included.
+    pub listed: u16,
     /// What for.
     pub body: Body,
     /// What else there is to say.
@@ -120,6 +125,8 @@
     Name,
     /// Meant for an earlier process here.
     Echo,
+    /// A knock, which is no message.
+    Knock,
 }
 
 /// Writes a message with as much of its news as there is room for, the first first; and how much that is.
@@ -144,6 +151,9 @@
     if bytes.len() > MOST {
         return Err(Refused::TooLong);
     }
+    if *bytes == KNOCK {
+        return Err(Refused::Knock);
+    }
     let (version, rest) = bytes.split_first().ok_or(Refused::Malformed)?;
     if *version != VERSION {
         return Err(Refused::Version);
@@ -176,6 +186,7 @@
             nonce: u32::MAX,
             echo: u32::MAX,
             digest: u32::MAX,
+            listed: u16::MAX,
             body: Body::Answered { seq: u32::MAX, of: u32::MAX },
             news: vec![one; news],
         }
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -2,8 +2,7 @@
 //!
 //! The ordinary path is the mechanism of Ould Deye et al.: a first-come queue at the
 //! proxy, at most `K_i = 2*TP_i/TS_i + 1` requests out per upstream, and refusal once
-//! queued plus in-flight reach the sum of `N_i = T_QoS / (2*TP_i + TS_i)`. The reading
-//! order is the order of the sections below; comments give the reasons.
+//! queued plus in-flight reach the sum of `N_i = T_QoS / (2*TP_i + TS_i)`. Comments give the reasons.
 
 use std::collections::VecDeque;
 
@@ -14,8 +13,7 @@
 
 // ---------------------------------------------------------------- tunables
 
-/// Housekeeping period as a share of the shortest aim: fine enough that a held request
-/// is refused close to its limit, coarse enough to cost nothing.
+/// Housekeeping period as a share of the shortest aim: held requests are refused close to their limit.
 const SWEEP_OF_AIM: f64 = 1.0 / 32.0;
 /// Most answers that an upstream's own mean stands for: about the last eight count.
 const OWN_MOST: f64 = 8.0;
@@ -34,8 +32,7 @@
 const CENSORED: f64 = 2.0;
 /// An attempt that failed counts as this many mean service times at least.
 const FAULT_SLOWNESS: f64 = 5.0;
-/// One answer counts as this many mean service times at most: a heavy request must not
-/// condemn the upstream that drew it.
+/// One answer counts as this many mean service times at most: a heavy request condemns nobody.
 const SLOWNESS_MAX: f64 = 10.0;
 /// A timed-out attempt keeps its slot for this many times its time-out: the upstream may
 /// still be at work on it, and a slot freed at once piles unseen work on it.
@@ -54,8 +51,7 @@
 const PAUSE_DOUBLINGS: u32 = 6;
 /// A refused client is told to come back no sooner than after this share of the mean service time.
 const COME_BACK_OF_TS: f64 = 0.5;
-/// Share of the aim that queue and service may take for a request to be admitted: the rest
-/// is for the spread of service times.
+/// Share of the aim that queue and service may take; the rest is for the spread of service times.
 const HOLD_OF_AIM: f64 = 0.7;
 /// A held request with less time left than this many mean latencies of its class is given up.
 /// Failure: repeats came with what was left of their first try's time, waited, and were sent too
@@ -103,8 +99,7 @@
 const LANES_USED: f64 = 0.7;
 /// TS of an upstream before any answer from any upstream, as a share of T_QoS.
 const TS_PRIOR_OF_QOS: f64 = 0.25;
-/// Longest first wait before the list is asked, as a share of `ask_every`: a bank that
-/// restarts together must not swamp the list service.
+/// Longest first wait before the list is asked, as a share of `ask_every`: banks restart together.
 const ASK_JITTER_OF_EVERY: f64 = 0.05;
 /// A list call unanswered for this share of `ask_every` is made again.
 const ASK_AGAIN_OF_EVERY: f64 = 0.5;
@@ -428,6 +423,13 @@
         self.fleet.present * lanes / f64::from(self.settings.balancers)
     }
 
+    /// So many proxies share the upstreams from now on. A part that grew is no more than a start.
+    pub fn shared_by(&mut self, balancers: u32) {
+        let before = std::mem::replace(&mut self.settings.balancers, balancers.max(1));
+        let scaled = self.fleet.lanes * f64::from(before) / f64::from(self.settings.balancers);
+        self.fleet.lanes = scaled.min(self.fleet.lanes.max(self.own_part(START_LANES)));
+    }
+
     /// N_i per unit of time: L_i / (2*TP_i + TS_i).
     fn n_rate(&self, s: &Server) -> f64 {
         self.lane_share(s) / (self.tp2(s) + self.ts(s))
@@ -641,8 +643,7 @@
     /// refused apart.
     fn inside_quota(&mut self, now: Time, tenant: usize) -> bool {
         let Some(tokens) = self.quota.get_mut(tenant) else { return true };
-        let quota = self.settings.tenants[tenant].quota_rps / f64::from(self.settings.balancers);
-        let rate = quota / 1e6;
+        let rate = self.settings.tenants[tenant].quota_rps / 1e6 / self.settings.balancers as f64;
         let most = (rate * self.t_qos * QUOTA_BURST_OF_QOS).max(1.0);
         *tokens = Tokens { left: tokens.by(now, rate, most), at: now };
         tokens.left >= 1.0
--- /dev/null
+++ b/crates/standing/src/lib.rs
@@ -0,0 +1,262 @@
+//! How much of the servers is one balancer's own: the number of balancers that its decision module is told.
+//!
+//! The parts of all that act add up to one at most, whatever each believes of the others. With N on the
+//! operators' list and F the set of those that are *proved* not to act, a balancer's part is 1 / (N - |F|).
+//! No one that acts is in any F, so that N - |F| is at least the number A of those that act, at every one
+//! of them, and A parts of at most 1/A add up to one at most.
+//!
+//! That no one that acts is in any F rests on two rules.
+//! - Silence proves nothing. A proof is the answer of a member's own system that no process holds its address.
+//!   It is as old as the question, and holds for one claim's time.
+//! - A process holds its address from before it acts until it ends, and acts only once each other member
+//!   has spoken to *this* process (and so knows of it, and believes no older proof), or is proved not to act
+//!   itself, or a claim's time has passed since it took its address, so that every proof against it is over.
+//!
+//! No I/O, no clock: [docs/design/members.md] has the premises, and what they cost.
+
+use std::collections::BTreeMap;
+
+use sableloom_types::{Span, Time};
+
+/// A member, by the hash of its name.
+pub type Key = u32;
+
+/// How long things take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Times {
+    /// How long a proof of absence holds, from the question on.
+    pub claim: Span,
+    /// How far apart two questions to one member are at least.
+    pub again: Span,
+    /// Questions within one claim's time at most, to all members together. Proofs that can't be renewed
+    /// end; that makes the part smaller, which is safe.
+    pub questions: usize,
+    /// How far clocks may be off, as a share of the time.
+    pub drift: f64,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self { claim: Span(2_000_000), again: Span(500_000), questions: 256, drift: 0.1 }
+    }
+}
+
+impl Times {
+    /// How long one that starts waits for those that do not speak to it: past the end of every proof against
+    /// it, by the slowest clock that holds one and the fastest that waits.
+    pub fn wait(&self) -> Span {
+        Span::of(self.claim.f() * (1.0 + self.drift) / (1.0 - self.drift))
+    }
+}
+
+/// Why the part is as it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// It has not yet a part: so many others might still hold proofs against it.
+    Waits(usize),
+    /// It shares with all of the list but those that are proved not to act.
+    Shares,
+    /// It did not run for a while, and has heard too few since: it shares with all of the list.
+    Woken,
+    /// Another process acts under its name: each has half of what one would have.
+    Twin,
+}
+
+/// A balancer's part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// It shares the servers with so many, itself included; 0 for no part yet.
+    pub balancers: u32,
+    /// Until then at most, as proofs end,
+    pub until: Option<Time>,
+    /// and with so many from then on, unless something new is learnt.
+    pub after: u32,
+    /// Why.
+    pub why: Why,
+}
+
+impl Part {
+    /// The part as a share of all, at this time.
+    pub fn share(&self, now: Time) -> f64 {
+        let over = self.until.is_some_and(|until| now >= until);
+        match if over { self.after } else { self.balancers } {
+            0 => 0.0,
+            n => 1.0 / f64::from(n),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Other {
+    /// It can hold no proof against this process: it has spoken to it, and so believes none that is older;
+    /// or it was not there at some time since this process took its address, and whoever has that name
+    /// by now began with nothing.
+    harmless: bool,
+    /// When anything last came from it.
+    sign: Option<Time>,
+    /// Since when it is proved not to act.
+    absent: Option<Time>,
+    /// When it was last asked.
+    asked: Option<Time>,
+    /// How many its list names, as it says.
+    listed: u32,
+}
+
+/// One balancer's standing among the members of a list.
+#[derive(Clone, Debug)]
+pub struct Standing {
+    times: Times,
+    started: Time,
+    others: BTreeMap<Key, Other>,
+    woken: bool,
+    twin: bool,
+    /// When the last questions were asked, of one claim's time.
+    questions: std::collections::VecDeque<Time>,
+    /// Whom to ask next, of those that can be.
+    next: Key,
+}
+
+impl Standing {
+    /// One that has just taken its address. `others` are all on the list but itself.
+    pub fn new(now: Time, others: impl IntoIterator<Item = Key>, times: Times) -> Self {
+        let others = others.into_iter().map(|key| (key, Other::default()));
+        Self {
+            times,
+            started: now,
+            others: others.collect(),
+            woken: false,
+            twin: false,
+            questions: Default::default(),
+            next: 0,
+        }
+    }
+
+    /// The list names these others from now on. What is known of those that stay is kept.
+    pub fn list(&mut self, others: impl IntoIterator<Item = Key>) {
+        let before = std::mem::take(&mut self.others);
+        let kept = |key: Key| (key, before.get(&key).copied().unwrap_or_default());
+        self.others = others.into_iter().map(kept).collect();
+    }
+
+    /// Whether a proof that was asked for at this time still holds.
+    fn holds(&self, now: Time, asked: Time) -> bool {
+        now < asked.plus(self.times.claim)
+    }
+
+    /// How many might hold a proof against it.
+    fn waits(&self, now: Time) -> usize {
+        let over = now >= self.started.plus(self.times.wait());
+        let might = self.others.values().filter(|other| !over && !other.harmless);
+        might.count()
+    }
+
+    /// Something came from a member's address, whatever it was. That is no proof of anything, and only ever
+    /// makes the part smaller.
+    pub fn sign(&mut self, now: Time, of: Key) {
+        if let Some(other) = self.others.get_mut(&of) {
+            other.sign = Some(now);
+            other.absent = None;
+        }
+    }
+
+    /// A member has spoken to this very process, and said how many its list names.
+    pub fn spoke(&mut self, now: Time, of: Key, listed: u32) {
+        self.sign(now, of);
+        if let Some(other) = self.others.get_mut(&of) {
+            other.harmless = true;
+            other.listed = listed;
+        }
+    }
+
+    /// A member's system says that no process holds its address; it was asked at this time.
+    pub fn refused(&mut self, of: Key, asked: Time) {
+        let Some(other) = self.others.get_mut(&of) else { return };
+        other.harmless |= asked >= self.started;
+        // What came since is from a process that has started since.
+        if other.sign.is_none_or(|sign| sign < asked) {
+            other.absent = Some(other.absent.map_or(asked, |before| before.max(asked)));
+            other.listed = 0;
+        }
+    }
+
+    /// It did not run for a while: nothing that it believed counts.
+    pub fn woke(&mut self, woken: bool) {
+        self.woken = woken;
+        if woken {
+            self.others.values_mut().for_each(|other| other.absent = None);
+        }
+    }
+
+    /// Another process acts under its name.
+    pub fn twin(&mut self) {
+        self.twin = true;
+    }
+
+    /// Whom to ask now whether anybody is there, of these, which do not seem to be.
+    pub fn ask(&mut self, now: Time, missing: impl Fn(Key) -> bool) -> Vec<Key> {
+        let since = |at: Time| now.since(at);
+        while self.questions.front().is_some_and(|at| since(*at) >= self.times.claim) {
+            self.questions.pop_front();
+        }
+        let again = self.times.again;
+        let due = |(key, other): (&Key, &Other)| {
+            let due = missing(*key) && other.asked.is_none_or(|at| since(at) >= again);
+            due.then_some(*key)
+        };
+        // In turn, so that where there are too many to ask each has its turn.
+        let (behind, ahead): (Vec<Key>, Vec<Key>) =
+            self.others.iter().filter_map(due).partition(|key| *key < self.next);
+        let room = self.times.questions.saturating_sub(self.questions.len());
+        let asked: Vec<Key> = ahead.into_iter().chain(behind).take(room).collect();
+        for key in &asked {
+            self.questions.push_back(now);
+            self.next = key.wrapping_add(1);
+            if let Some(other) = self.others.get_mut(key) {
+                other.asked = Some(now);
+            }
+        }
+        asked
+    }
+
+    /// How many are proved not to act.
+    pub fn absent(&self, now: Time) -> usize {
+        let proofs = self.others.values().filter_map(|o| o.absent);
+        proofs.filter(|asked| self.holds(now, *asked)).count()
+    }
+
+    /// The most that any list names, as far as is known: where lists differ, the greater number holds.
+    pub fn listed(&self) -> u32 {
+        let own = self.others.len() as u32 + 1;
+        self.others.values().map(|o| o.listed).fold(own, u32::max)
+    }
+
+    /// The part now.
+    pub fn part(&self, now: Time) -> Part {
+        let twins = if self.twin { 2 } else { 1 };
+        let most = self.listed();
+        let waits = self.waits(now);
+        if waits > 0 {
+            let until = Some(self.started.plus(self.times.wait()));
+            return Part { balancers: 0, until, after: most * twins, why: Why::Waits(waits) };
+        }
+        let proofs = self.others.values().filter_map(|o| o.absent);
+        let held: Vec<Time> = proofs.filter(|asked| self.holds(now, *asked)).collect();
+        let until = held.iter().min().map(|asked| asked.plus(self.times.claim));
+        let balancers = most.saturating_sub(held.len() as u32).max(1) * twins;
+        let why = match (self.twin, self.woken) {
+            (true, _) => Why::Twin,
+            (_, true) => Why::Woken,
+            _ => Why::Shares,
+        };
+        Part { balancers, until, after: most * twins, why }
+    }
+
+    /// When the part may change by itself, or somebody may be asked again, if nothing happens before.
+    pub fn next(&self, now: Time) -> Time {
+        let ends = self.others.values().filter_map(|o| Some(o.absent?.plus(self.times.claim)));
+        let wait = Some(self.started.plus(self.times.wait())).filter(|_| self.waits(now) > 0);
+        let first = ends.chain(wait).filter(|at| *at > now).min();
+        let again = now.plus(self.times.again);
+        first.map_or(again, |at| at.min(again))
+    }
+}
