serve takes its place in a fleet: [fleet], its part of the servers, sableloom fleet

The decisions of membership and of parts were there; no process ran them. serve holds a datagram socket at its own address from before it acts until it ends, talks, asks the systems of those that do not answer whether anybody is there, and tells every pool how many share the servers. A part that ends is looked at before each call of the decision module, since a process that was stopped may be asked for something before any timer of its own is due. Operators ask over the same wire, from an address that the site names. Members are in the site or in a file, checked, and change on SIGHUP.

One that starts calls those that have not spoken to it each 100 ms: with the calls of the usual round a fleet of 12 that started together had no parts for 3 s.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -63,6 +63,8 @@
 
 struct State {
     balancer: Balancer,
+    /// When the part of the servers that the module was told ends, and what it is then.
+    part_ends: Option<(Time, u32)>,
     jobs: FxHashMap<RequestId, Rc<Job>>,
     next_id: u64,
     /// The ids of the jobs, as clients named them.
@@ -104,6 +106,7 @@
         let balancer = Balancer::new(facts.settings(), seed, clock.now())?;
         let state = State {
             balancer,
+            part_ends: None,
             jobs: FxHashMap::default(),
             next_id: 0,
             trace_ids: FxHashSet::default(),
@@ -125,6 +128,11 @@
     fn tell(self: &Rc<Self>, call: impl FnOnce(&mut Balancer, Time, &mut Vec<Action>)) {
         let mut state = self.state.borrow_mut();
         let now = self.clock.now();
+        // Looked at before each call and not by a timer: a process that was stopped and goes on may be
+        // asked for something before any timer of its own is due.
+        if let Some((_, after)) = state.part_ends.take_if(|(ends, _)| now >= *ends) {
+            state.balancer.shared_by(after);
+        }
         let mut actions = Vec::new();
         call(&mut state.balancer, now, &mut actions);
         for action in actions {
@@ -219,6 +227,14 @@
         self.closed.set(true);
     }
 
+    /// So many balancers share the servers from now on, and another number from a time on unless this is
+    /// called again before.
+    pub fn shared_by(&self, balancers: u32, ends: Option<(Time, u32)>) {
+        let mut state = self.state.borrow_mut();
+        state.balancer.shared_by(balancers);
+        state.part_ends = ends;
+    }
+
     /// Requests that are taken and not over.
     pub fn open(&self) -> usize {
         self.state.borrow().jobs.values().filter(|job| !job.over.get()).count()
--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -3,7 +3,9 @@
 
 use std::net::SocketAddr;
 
-use sableloom_members::{Change, Fleet, Health, Key, Listed, Out as Said, Standing as Place};
+use sableloom_members::{
+    Change, Fleet, Health, Key, Listed, Out as Said, Standing as Place, key_of,
+};
 use sableloom_standing::{Part, Standing};
 use sableloom_types::Time;
 
@@ -52,7 +54,8 @@
 
     /// It begins: all are called and, where nobody answers, their systems are asked.
     pub fn start(&mut self, now: Time, out: &mut Out) {
-        self.talk(now, out, |members, said| members.greet(now, said));
+        // Those that have not spoken are called as long as it waits for them.
+        self.talk(now, out, |_, _| {});
     }
 
     /// A datagram has come.
@@ -85,11 +88,12 @@
 
     /// The operators' list is this from now on, without itself.
     pub fn list(&mut self, now: Time, others: &[Listed], out: &mut Out) {
+        let listed = others.iter().map(|listed| key_of(&listed.name)).collect::<Vec<_>>();
+        self.standing.list(listed);
         self.talk(now, out, |members, said| {
             members.list(now, others, said);
             members.greet(now, said);
         });
-        self.standing.list(keys(&self.members));
         self.part = self.standing.part(now);
     }
 
@@ -109,6 +113,10 @@
         self.standing.woke(self.members.standing() == Place::JustWoken);
         out.datagrams.append(&mut said.datagrams);
         out.changes.append(&mut said.changes);
+        let mut called = Said::default();
+        let calls = self.standing.call(now);
+        calls.into_iter().for_each(|key| self.members.call(key, &mut called));
+        out.datagrams.append(&mut called.datagrams);
         let members = &self.members;
         let peer = |key: Key| members.peers().iter().find(|peer| peer.key == key);
         let missing = |key| peer(key).is_some_and(|peer| peer.health != Health::Alive);
--- a/crates/fleet/src/shell.rs
+++ b/crates/fleet/src/shell.rs
@@ -12,15 +12,18 @@
 use sableloom_standing::{Part, Why};
 use sableloom_types::Time;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout};
 
+use crate::ask;
 use crate::core::{Core, Out, Setup};
 use crate::status::Status;
 
 /// How long the answer to a question may take. It comes from the system of the one asked, if at all.
 const ANSWERS_WITHIN: Duration = Duration::from_millis(400);
+/// Questions to systems that are out at once, each with a descriptor of its own.
+pub const QUESTIONS_OUT: usize = 32;
 /// Datagrams that are taken before the requests of clients have their turn.
 const TURN: usize = 64;
 
@@ -38,6 +41,8 @@
     pub setup: Setup,
     /// Its own address, where it listens.
     pub address: SocketAddr,
+    /// Whoever sends from there is shown what it knows.
+    pub operator: Option<SocketAddr>,
     /// The others on the list.
     pub others: Vec<Listed>,
     /// Greater than that of its process before.
@@ -60,13 +65,17 @@
     told: Rc<dyn Told>,
     last: RefCell<Part>,
     changed: Notify,
+    questions: Semaphore,
+    operator: Option<SocketAddr>,
+    /// What the operator asks for page by page.
+    shown: RefCell<Vec<u8>>,
     task: RefCell<Option<Task>>,
 }
 
 impl Running {
     /// Takes its address and begins to talk. To be called on a `LocalSet`, before the process acts.
     pub async fn start(options: Options) -> io::Result<Rc<Self>> {
-        let Options { setup, address, others, life, seed, clock, told } = options;
+        let Options { setup, address, operator, others, life, seed, clock, told } = options;
         let socket = UdpSocket::bind(address).await?;
         let core = Core::new(&setup, life, &others, seed, clock.now());
         let part = core.part();
@@ -80,6 +89,9 @@
             told,
             last: RefCell::new(part),
             changed: Notify::new(),
+            questions: Semaphore::new(QUESTIONS_OUT),
+            operator,
+            shown: RefCell::default(),
             task: RefCell::default(),
         });
         running.call(|core, now, out| core.start(now, out));
@@ -128,6 +140,9 @@
                     }
                     for _ in 0..TURN {
                         match self.socket.try_recv_from(&mut buffer) {
+                            Ok((n, from)) if Some(from) == self.operator => {
+                                self.show(from, &buffer[..n]);
+                            }
                             Ok((n, from)) => {
                                 self.call(|core, now, out| core.datagram(now, from, &buffer[..n], out));
                             }
@@ -151,14 +166,6 @@
             what(&mut core, self.clock.now(), &mut out);
             core.part()
         };
-        for (to, bytes) in &out.datagrams {
-            // A full socket loses it, as a net does.
-            let _ = self.socket.try_send_to(bytes, *to);
-        }
-        let asked = self.clock.now();
-        for (key, at) in out.knocks {
-            spawn_local(self.clone().knock(key, at, asked));
-        }
         self.say(&out.changes);
         let before = self.last.replace(part);
         if before != part {
@@ -167,11 +174,34 @@
             }
             self.told.part(part);
         }
+        // Only now: whoever is answered that it is known may act on that at once.
+        for (to, bytes) in &out.datagrams {
+            // A full socket loses it, as a net does.
+            let _ = self.socket.try_send_to(bytes, *to);
+        }
+        for (key, at) in out.knocks {
+            spawn_local(self.clone().knock(key, at));
+        }
         self.changed.notify_one();
     }
 
-    /// Asks a member's system whether any process holds its address. `asked` is before the question leaves.
-    async fn knock(self: Rc<Self>, key: Key, at: SocketAddr, asked: Time) {
+    /// Shows the operator a page of the status, as it was when the first one was asked for.
+    fn show(&self, to: SocketAddr, question: &[u8]) {
+        let Some(page) = ask::asked(question) else { return };
+        let mut shown = self.shown.borrow_mut();
+        if page == 0 || shown.is_empty() {
+            *shown = serde_json::to_vec(&self.status()).unwrap_or_default();
+        }
+        if let Some(answer) = ask::answer(&shown, page) {
+            let _ = self.socket.try_send_to(&answer, to);
+        }
+    }
+
+    /// Asks a member's system whether any process holds its address.
+    async fn knock(self: Rc<Self>, key: Key, at: SocketAddr) {
+        let Ok(_out) = self.questions.acquire().await else { return };
+        // Before the question leaves.
+        let asked = self.clock.now();
         let question = async {
             let socket = UdpSocket::bind(SocketAddr::new(self.address.ip(), 0)).await?;
             // Only a connected socket is told of the answer.
--- a/crates/members/src/fleet.rs
+++ b/crates/members/src/fleet.rs
@@ -730,6 +730,12 @@
         self.due = Some(self.next().max(now));
     }
 
+    /// Calls one member: it answers to this very process, whatever is known of it.
+    pub fn call(&mut self, of: Key, out: &mut Out) {
+        let seq = self.next_seq();
+        self.say(of, Body::Ping { seq }, out);
+    }
+
     /// A knock that was sent at this time found that no process holds the member's address. One that was
     /// heard since has started after it.
     pub fn refused(&mut self, now: Time, of: Key, sent: Time, out: &mut Out) {
--- a/crates/sableloom/src/main.rs
+++ b/crates/sableloom/src/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod config;
 mod demo;
+mod fleet;
 mod platform;
 mod rehearse;
 mod serve;
@@ -36,6 +37,9 @@
     Check(check::CheckOptions),
     /// Tells which route, pool and servers a request would meet, and why
     Route(check::RouteOptions),
+    /// Shows what balancers that know each other know of their fleet
+    #[command(subcommand)]
+    Fleet(fleet::Command),
     /// Tells what came of the copies that shadows sent to a candidate
     Shadow(shadow::Options),
     /// Rehearses a fleet: starts balancers, points nodes and clients as a script says, does what it says
@@ -61,6 +65,7 @@
             Some(Command::Serve(options)) => serve::run(options).await,
             Some(Command::Check(options)) => check::check(&options),
             Some(Command::Route(options)) => check::route(&options),
+            Some(Command::Fleet(command)) => return fleet::run(command).await,
             Some(Command::Shadow(options)) => return shadow::run(options),
             Some(Command::Rehearse(options)) => return Ok(rehearse::run(options).await),
             Some(Command::Under(options)) => rehearse::under(options),
--- a/crates/sableloom/src/serve.rs
+++ b/crates/sableloom/src/serve.rs
@@ -8,6 +8,7 @@
 use sableloom_checked::Problem;
 use sableloom_exchange::{Asked, Clock, Exchange, Message, Reply, Service, Turned, Work};
 use sableloom_exchange::{Options as ExchangeOptions, Source};
+use sableloom_fleet::{QUESTIONS_OUT, Running as Fleet, Told};
 use sableloom_http1::{Budget, Dialect, Frontend, Upstreams};
 use sableloom_mirror::{Ending, Group, Mirror, Options as MirrorOptions, Ready};
 use sableloom_routes::{Head, Table};
@@ -15,6 +16,7 @@
 use sableloom_serverlist::Spec;
 use sableloom_shadow::Bounds;
 use sableloom_site::{Pool, Shadow, Site, Target};
+use sableloom_standing::Part;
 use sableloom_types::settings::{span, stable_hash};
 use serde_json::{Value, json};
 use tokio::signal::unix::{SignalKind, signal};
@@ -22,11 +24,15 @@
 use tokio::time::{Instant, sleep};
 
 use crate::config::{SOCKETS_OTHER, split};
+use crate::fleet;
 use crate::platform::{Door, SWEEP, listen};
 
 /// Descriptors that each pool may use to watch and read its files.
 const SOCKETS_POOL: usize = 4;
 
+/// Balancers that one which has no part yet is told to share with.
+const MULTITUDE: u32 = 10_000;
+
 /// How long the end waits for the records of shadows.
 const SHADOW_LAST: Duration = Duration::from_millis(500);
 
@@ -45,7 +51,22 @@
     let text = bytes_of(&path).map_err(|e| vec![Problem::of_file(&name, e)])?;
     let site = sableloom_site::read(&name, &text)?;
     let table = site.table().map_err(|e| vec![Problem::of_file(&name, format!("routes: {e}"))])?;
-    Ok((site, table))
+    Ok((with_members(&path, site)?, table))
+}
+
+/// The site with the members of its fleet, where a file names them.
+fn with_members(path: &Path, mut site: Site) -> Result<Site, Vec<Problem>> {
+    let Some(fleet) = site.fleet.take() else { return Ok(site) };
+    site.fleet = Some(match fleet.file.clone() {
+        None => fleet,
+        Some(file) => {
+            let at = path.parent().unwrap_or(Path::new("")).join(&file);
+            let text = bytes_of(&at).map_err(|e| vec![Problem::of_file(&file, e)])?;
+            let members = sableloom_site::read_members(&file, &text)?;
+            fleet.with_members(&file, members)?
+        }
+    });
+    Ok(site)
 }
 
 /// A pool's files, their paths taken from the folder that the site's file lies in.
@@ -142,12 +163,20 @@
         pools
     }
 
+    /// All pools share their servers with so many.
+    fn shared_by(&self, part: Part) {
+        // A part of nothing is told as one of a multitude: the module keeps one lane whatever it is told.
+        let told = |n: u32| if n == 0 { MULTITUDE } else { n };
+        let ends = part.until.map(|until| (until, told(part.after)));
+        self.pools().iter().for_each(|pool| pool.exchange.shared_by(told(part.balancers), ends));
+    }
+
     fn open(&self) -> usize {
         self.pools().iter().map(|pool| pool.exchange.open()).sum()
     }
 
     /// What it does now, as one line of JSON.
-    fn status(&self) -> Value {
+    fn status(&self, fleet: Option<&Fleet>) -> Value {
         let routing = self.routing.borrow().clone();
         let pool = |pool: &Rc<Running>| {
             let (list, version, servers) = pool.files.version();
@@ -155,7 +184,8 @@
                    "version": version, "servers": servers})
         };
         json!({"configuration": routing.number, "hash": routing.site.hash, "open": self.open(),
-               "pools": routing.pools.iter().map(pool).collect::<Vec<_>>()})
+               "pools": routing.pools.iter().map(pool).collect::<Vec<_>>(),
+               "fleet": fleet.map(Fleet::status)})
     }
 
     /// Closes idle connections, and lets go of pools that have ended.
@@ -172,6 +202,19 @@
     }
 }
 
+/// Tells the pools what their part is, and the log what happens.
+struct ToPools(Rc<Router>);
+
+impl Told for ToPools {
+    fn part(&self, part: Part) {
+        self.0.shared_by(part);
+    }
+
+    fn line(&self, line: &str) {
+        eprintln!("sableloom: fleet: {line}");
+    }
+}
+
 /// What all pools share.
 struct Shared {
     path: PathBuf,
@@ -354,7 +397,8 @@
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut status = signal(SignalKind::user_defined1()).map_err(|e| format!("SIGUSR1: {e}"))?;
     let (site, table) = load(&path).map_err(|wrong| told(&wrong))?;
-    let other = SOCKETS_OTHER + site.listeners.len() + SOCKETS_POOL * site.pools.len();
+    let fleet = if site.fleet.is_some() { 1 + QUESTIONS_OUT } else { 0 };
+    let other = SOCKETS_OTHER + site.listeners.len() + SOCKETS_POOL * site.pools.len() + fleet;
     let (mut clients, upstreams) = split(site.limits.memory_mb, site.limits.sockets, other);
     // Nothing bounds clients on their side, as the platform does.
     clients.asking = clients.places;
@@ -404,9 +448,19 @@
         .collect::<Result<Vec<_>, _>>()?;
     let longest = Duration::from_secs_f64(site.longest_ms() / 1e3);
     let hash = site.hash.clone();
+    let named = site.fleet.clone();
     let routing = Rc::new(Routing { number: 1, site, table, pools });
     let router = Rc::new(Router { routing: RefCell::new(routing), ending: RefCell::default() });
     let frontend = Frontend::new(router.clone(), facts, Dialect::Open(methods), clock, &clients);
+    // Before the first request: from when it acts to its end it holds its address among the others.
+    let fleet = match &named {
+        Some(fleet) => {
+            let told = Rc::new(ToPools(router.clone()));
+            let running = fleet::start(fleet, clock, told).await;
+            Some(running.map_err(|e| format!("{}:{}: {e}", path.display(), fleet.place.line))?)
+        }
+        None => None,
+    };
     for listener in &listeners {
         let address = listener.local_addr().map_err(|e| format!("a listener: {e}"))?;
         eprintln!("sableloom: listening on {address}");
@@ -421,19 +475,27 @@
             sweeps.sweep();
         }
     });
-    let reloads = router.clone();
+    let (reloads, reloaded) = (router.clone(), fleet.clone());
     spawn_local(async move {
         while hangup.recv().await.is_some() {
             match shared.reload(&reloads).await {
-                Ok(what) => eprintln!("sableloom: SIGHUP; {what}"),
+                Ok(what) => {
+                    eprintln!("sableloom: SIGHUP; {what}");
+                    let site = reloads.routing.borrow().site.fleet.clone();
+                    if let (Some(running), Some(fleet)) = (&reloaded, &site) {
+                        running.list(&fleet::others(fleet));
+                        // Pools that are new have not been told.
+                        reloads.shared_by(running.part());
+                    }
+                }
                 Err(wrong) => eprintln!("sableloom: SIGHUP; nothing is changed: {}", told(&wrong)),
             }
         }
     });
-    let asked = router.clone();
+    let (asked, of_fleet) = (router.clone(), fleet.clone());
     spawn_local(async move {
         while status.recv().await.is_some() {
-            eprintln!("sableloom: status {}", asked.status());
+            eprintln!("sableloom: status {}", asked.status(of_fleet.as_deref()));
         }
     });
     term.recv().await;
@@ -442,6 +504,9 @@
     let shadows: Vec<_> =
         router.pools().iter().filter_map(|p| Some(p.mirror.take()?.stop())).collect();
     door.finish(|| router.open()).await;
+    if let Some(fleet) = fleet {
+        fleet.leave();
+    }
     // A candidate that hangs holds up no end.
     let last = Instant::now() + SHADOW_LAST;
     while !shadows.iter().all(Ending::is_over) && Instant::now() < last {
--- a/crates/site/src/change.rs
+++ b/crates/site/src/change.rs
@@ -2,7 +2,7 @@
 
 use sableloom_checked::Problem;
 
-use crate::{Place, Pool, Site};
+use crate::{Fleet, Place, Pool, Site};
 
 /// What differs in the new configuration and needs a restart. Routes, pools that come and go, and
 /// what concerns a pool's files can change while it runs; what the decision module of a pool was
@@ -25,6 +25,16 @@
     let whole = Place::default();
     differs(&whole, "limits", old.limits != new.limits);
     differs(&whole, "locality", old.locality != new.locality);
+    // Members come and go; who it is itself, and by which times all go, stays. Its own address is held for as
+    // long as it runs: that is what others go by.
+    let fixed = |fleet: &Option<Fleet>| {
+        fleet.as_ref().map(|fleet| {
+            let address = fleet.address();
+            (address, Fleet { members: Vec::new(), file: None, ..fleet.clone() })
+        })
+    };
+    let place = new.fleet.as_ref().map_or(Place::default(), |fleet| fleet.place.clone());
+    differs(&place, "fleet", fixed(&old.fleet) != fixed(&new.fleet));
     let first = |places: Vec<&Place>| places.first().map_or(Place::default(), |p| (*p).clone());
     let changed = |i: usize| new.listeners.get(i) != old.listeners.get(i);
     let at = (0..old.listeners.len().max(new.listeners.len())).find(|i| changed(*i));
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod change;
 mod field;
+mod fleet;
 mod read;
 mod shadow;
 
@@ -17,6 +18,7 @@
 };
 
 pub use change::unchangeable;
+pub use fleet::{Fleet, MOST_MEMBERS, Member, read_members};
 pub use read::read;
 
 /// Where something stands in the file. Two things that differ only in this are the same.
@@ -54,7 +56,7 @@
     pub zone: u32,
     /// What an attempt that crosses zones costs, as a share of an answer's worth.
     pub crossing: f64,
-    /// Balancers that share the servers, this one included.
+    /// Balancers that share the servers, this one included; with a fleet its members are counted instead.
     pub balancers: u32,
 }
 
@@ -214,6 +216,8 @@
     pub limits: Limits,
     /// Where this balancer stands.
     pub locality: Locality,
+    /// The fleet that it belongs to, if its balancers know each other.
+    pub fleet: Option<Fleet>,
     /// Where clients come in.
     pub listeners: Vec<Listener>,
     /// Classes, in their order.
@@ -250,7 +254,10 @@
     pub fn facts(&self, pool: &Pool) -> Facts {
         let (how, names) = pool.reports.clone();
         Facts {
-            balancers: self.locality.balancers,
+            balancers: match &self.fleet {
+                Some(fleet) => fleet.members.len().max(1) as u32,
+                None => self.locality.balancers,
+            },
             zone: self.locality.zone,
             zones: self.locality.zones.clone(),
             machine_types: Vec::new(),
--- a/crates/site/src/read.rs
+++ b/crates/site/src/read.rs
@@ -38,6 +38,7 @@
 fn site(root: &Table<'_>, starts: &[usize]) -> Option<Site> {
     let limits = limits(root.table("limits"));
     let locality = locality(root.table("locality"));
+    let fleet = crate::fleet::fleet(root.table("fleet"), starts);
     let listeners = listeners(root, starts);
     let classes = classes(root, starts);
     let mut pools = pools(root, starts, &classes);
@@ -55,6 +56,7 @@
     Some(Site {
         limits,
         locality,
+        fleet,
         listeners,
         classes: classes.into_iter().map(|(_, class)| class).collect(),
         pools: pools.into_iter().map(|(_, pool)| pool).collect(),
--- a/crates/standing/src/lib.rs
+++ b/crates/standing/src/lib.rs
@@ -21,6 +21,9 @@
 /// A member, by the hash of its name.
 pub type Key = u32;
 
+/// Calls at one time at most.
+const CALLS: usize = 64;
+
 /// How long things take.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Times {
@@ -28,6 +31,8 @@
     pub claim: Span,
     /// How far apart two questions to one member are at least.
     pub again: Span,
+    /// How far apart two calls of one that has not spoken are at least.
+    pub call: Span,
     /// Questions within one claim's time at most, to all members together. Proofs that can't be renewed
     /// end; that makes the part smaller, which is safe.
     pub questions: usize,
@@ -37,7 +42,13 @@
 
 impl Default for Times {
     fn default() -> Self {
-        Self { claim: Span(2_000_000), again: Span(500_000), questions: 256, drift: 0.1 }
+        Self {
+            claim: Span(2_000_000),
+            again: Span(500_000),
+            call: Span(100_000),
+            questions: 256,
+            drift: 0.1,
+        }
     }
 }
 
@@ -98,6 +109,8 @@
     absent: Option<Time>,
     /// When it was last asked.
     asked: Option<Time>,
+    /// When it was last called.
+    called: Option<Time>,
     /// How many its list names, as it says.
     listed: u32,
 }
@@ -218,6 +231,22 @@
         asked
     }
 
+    /// Whom to call now: those that have not spoken to this process, as long as that matters.
+    pub fn call(&mut self, now: Time) -> Vec<Key> {
+        if self.waits(now) == 0 {
+            return Vec::new();
+        }
+        let again = self.times.call;
+        let due = |o: &Other| !o.harmless && o.called.is_none_or(|at| now.since(at) >= again);
+        let others = self.others.iter_mut().filter(|(_, other)| due(other)).take(CALLS);
+        others
+            .map(|(key, other)| {
+                other.called = Some(now);
+                *key
+            })
+            .collect()
+    }
+
     /// How many are proved not to act.
     pub fn absent(&self, now: Time) -> usize {
         let proofs = self.others.values().filter_map(|o| o.absent);
@@ -256,7 +285,8 @@
         let ends = self.others.values().filter_map(|o| Some(o.absent?.plus(self.times.claim)));
         let wait = Some(self.started.plus(self.times.wait())).filter(|_| self.waits(now) > 0);
         let first = ends.chain(wait).filter(|at| *at > now).min();
-        let again = now.plus(self.times.again);
+        let again = if wait.is_some() { self.times.call } else { self.times.again };
+        let again = now.plus(again);
         first.map_or(again, |at| at.min(again))
     }
 }
