--- a/crates/rehearsal/src/account.rs
+++ b/crates/rehearsal/src/account.rs
@@ -121,6 +121,8 @@
     pub falls: Vec<u32>,
     /// Balancers that ended unasked: which, when, and how.
     pub crashes: Vec<(usize, i64, String)>,
+    /// Since when all balancers that ran agreed on who is there, to the end.
+    pub agreed: Option<i64>,
 }
 
 /// How an arrival ended, over all its tries.
@@ -295,6 +297,9 @@
     pub deeds: Vec<(i64, String, bool)>,
     /// After the last fault, service was back after so long; `None` if it never was.
     pub back_after: Option<i64>,
+    /// After the last deed, balancers that know each other agreed after so long, to the end.
+    #[serde(default)]
+    pub agreed_after: Option<i64>,
     /// What that is measured by: the share served before the first fault.
     pub before: Option<f64>,
     /// Tries of clients for each arrival.
@@ -504,6 +509,7 @@
             .collect(),
         deeds: timeline.steps.iter().map(|s| (s.at, s.act.to_string(), s.ends)).collect(),
         back_after,
+        agreed_after: facts.agreed.map(|at| at - timeline.faults().map_or(0, |(_, last)| last)),
         before,
         tries: facts.tries.len() as f64 / asked,
         attempts: facts.arrived.len() as f64 / asked,
--- a/crates/rehearsal/src/judge.rs
+++ b/crates/rehearsal/src/judge.rs
@@ -105,6 +105,14 @@
             }
         }
     }
+    if let Some(within) = expect.agree_within
+        && account.agreed_after.is_none_or(|after| after > within)
+    {
+        let found = account.agreed_after;
+        let found = found.map_or("never".into(), |us| format!("after {} s", seconds(us)));
+        let within = seconds(within);
+        unmet.push(format!("agreed: {found}, expected within {within} s of the last deed"));
+    }
     if let Some(most) = expect.cold_peak_most.filter(|most| account.cold_peak > *most) {
         let peak = account.cold_peak;
         unmet.push(format!("a cold node was sent {peak:.2} times its capacity; {most} at most"));
--- a/crates/rehearsal/src/read.rs
+++ b/crates/rehearsal/src/read.rs
@@ -56,6 +56,8 @@
 struct Reading {
     zones: Vec<String>,
     balancers: usize,
+    /// Whether balancers know each other.
+    members: bool,
     nodes: usize,
     groups: Vec<Group>,
     classes: Vec<Class>,
@@ -147,6 +149,7 @@
     let mut reading = Reading {
         zones: fleet.zones.clone(),
         balancers: fleet.balancers,
+        members: fleet.members,
         nodes: nodes.count,
         groups: Vec::new(),
         classes,
@@ -159,7 +162,7 @@
     let events = events(root, &mut reading, length);
     let phases = phases(root, length);
     let machine = machine(root);
-    let expect = expect(root, &events, &nodes, length);
+    let expect = expect(root, &events, &nodes, length, fleet.members);
     let Reading { groups, classes, .. } = reading;
     let script = Script {
         name: name?.value,
@@ -206,6 +209,10 @@
     let lists = table.choice("lists", &words).map_or(Lists::Files, |l| l.value);
     let sockets = table.whole("sockets", 64..=1_000_000, " descriptors");
     let memory_mb = table.whole("memory_mb", 24..=1_000_000, " MB");
+    let members = table.flag("members").filter(|members| members.value);
+    if let Some(members) = members.as_ref().filter(|_| lists == Lists::Discovery) {
+        table.wrong(members, "balancers can't talk in the platform's mode", None);
+    }
     table.finish();
     let balancers = balancers?.value as usize;
     Some(Fleet {
@@ -215,6 +222,7 @@
         zones,
         sockets: sockets.map_or(1024, |n| n.value),
         memory_mb: memory_mb.map_or(128, |n| n.value),
+        members: members.is_some(),
     })
 }
 
@@ -467,7 +475,7 @@
     all
 }
 
-const DEEDS: [&str; 23] = [
+const DEEDS: [&str; 24] = [
     "kill",
     "term",
     "power-loss",
@@ -488,6 +496,7 @@
     "node-drain",
     "node-remove",
     "link",
+    "peers",
     "load",
     "storm",
     "shift",
@@ -558,7 +567,22 @@
         }
         "node-drain" => Deed::NodeDrain { time: time(table, "for_ms") },
         "node-remove" => Deed::NodeRemove { time: time(table, "for_ms") },
-        "link" => link(table, reading)?,
+        "link" => {
+            let (to, there, back, time) = link(table, reading, Side::Nodes)?;
+            Deed::Link { to, there, back, time }
+        }
+        "peers" => {
+            if !reading.members {
+                let help = "say `members = true` in [fleet]";
+                table.wrong(
+                    &table.here(),
+                    "balancers don't talk in this script",
+                    Some(help.into()),
+                );
+            }
+            let (to, there, back, time) = link(table, reading, Side::Balancers)?;
+            Deed::Peers { to, there, back, time }
+        }
         "load" => {
             let most = 0.0..=100_000.0;
             let rate = table.need_number("per_second", most, " requests a second")?;
@@ -581,8 +605,11 @@
     })
 }
 
-fn link(table: &Table<'_>, reading: &mut Reading) -> Option<Deed> {
-    let to = reading.who(table, "to", Side::Nodes);
+/// To whom, what each way is like, and for how long.
+type Linked = (usize, Option<Quality>, Option<Quality>, Option<i64>);
+
+fn link(table: &Table<'_>, reading: &mut Reading, side: Side) -> Option<Linked> {
+    let to = reading.who(table, "to", side);
     let way = table.choice(
         "way",
         &[("both", (true, true)), ("there", (true, false)), ("back", (false, true))],
@@ -605,7 +632,7 @@
     }
     let time = time(table, "for_ms");
     let of = |meant: bool| meant.then_some(quality);
-    Some(Deed::Link { to: to?, there: of(way.0), back: of(way.1), time })
+    Some((to?, of(way.0), of(way.1), time))
 }
 
 fn events(root: &Table<'_>, reading: &mut Reading, length: i64) -> Vec<Event> {
@@ -686,7 +713,7 @@
 }
 
 /// What is expected, and whether it can be checked at all in such a script.
-fn expect(root: &Table<'_>, events: &[Event], nodes: &Nodes, length: i64) -> Expect {
+fn expect(root: &Table<'_>, events: &[Event], nodes: &Nodes, length: i64, members: bool) -> Expect {
     let mut expect = Expect {
         lost: 0,
         doubled: 0,
@@ -699,6 +726,7 @@
         served_least: None,
         back_within: None,
         back_to: 0.9,
+        agree_within: None,
         cold_peak_most: None,
     };
     let Some(table) = root.table("expect") else { return expect };
@@ -718,11 +746,16 @@
     expect.cold_peak_most = cold_peak.as_ref().map(|n| n.value);
     let back = table.number("back_within_ms", 0.0..=HOUR_MS, " ms");
     expect.back_within = back.as_ref().map(|n| us(n.value));
+    let agree = table.number("agree_within_ms", 0.0..=HOUR_MS, " ms");
+    expect.agree_within = agree.as_ref().map(|n| us(n.value));
     table.finish();
     // An expectation that nothing in the script can meet or miss is a slip of the hand.
     let unchecked = |found: &Found<f64>, why: String| {
         table.wrong(found, format!("it can't be checked: {why}"), None);
     };
+    if let Some(agree) = agree.as_ref().filter(|_| !members) {
+        unchecked(agree, "its balancers don't know each other; `fleet.members` says so".into());
+    }
     if let Some(back) = &back {
         let first = events.iter().map(|e| e.at).min();
         let last = events.iter().map(last_of).max();
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -71,6 +71,8 @@
     pub sockets: usize,
     /// Memory, as their files say.
     pub memory_mb: usize,
+    /// Whether they know each other: their files name all of them as members of one fleet.
+    pub members: bool,
 }
 
 /// The nodes.
@@ -331,6 +333,17 @@
         /// How long; for good without.
         time: Option<i64>,
     },
+    /// What the group's balancers and these say to each other meets links like this.
+    Peers {
+        /// The group of the others.
+        to: usize,
+        /// From the first.
+        there: Option<Quality>,
+        /// From the others.
+        back: Option<Quality>,
+        /// How long; for good without.
+        time: Option<i64>,
+    },
     /// Requests a second, reached over a time.
     Load {
         /// How many.
@@ -428,6 +441,9 @@
     pub back_within: Option<i64>,
     /// to this share of what it was before the first.
     pub back_to: f64,
+    /// After the last deed, all balancers that run agree on who is there, and share the servers among
+    /// themselves alone, within so long. The run goes on after the last request until they do, or it is over.
+    pub agree_within: Option<i64>,
     /// What a cold node may be sent, in multiples of its capacity at that moment.
     pub cold_peak_most: Option<f64>,
 }
--- a/crates/rehearsal/src/timeline.rs
+++ b/crates/rehearsal/src/timeline.rs
@@ -62,6 +62,15 @@
         /// From the node, if that changes.
         back: Option<Quality>,
     },
+    /// A link between two balancers, one way.
+    Peers {
+        /// Who sends.
+        from: usize,
+        /// Who is meant.
+        to: usize,
+        /// What the link is like.
+        quality: Quality,
+    },
     /// The load changes: known beforehand, and told for the report alone.
     Load(String),
 }
@@ -157,6 +166,10 @@
                 there.iter().try_for_each(|q| quality(f, "there", q))?;
                 back.iter().try_for_each(|q| quality(f, "back", q))
             }
+            Act::Peers { from, to, quality: q } => {
+                write!(f, "peers b{} b{}", from + 1, to + 1)?;
+                quality(f, "there", q)
+            }
             Act::Load(what) => f.write_str(what),
         }
     }
@@ -313,6 +326,17 @@
                     pair(link(*there, *back), link(open(there), open(back)), time);
                 }
             }
+            Deed::Peers { to, there, back, time } => {
+                let others = groups[*to].iter().filter(|other| **other != m);
+                for &other in others {
+                    let ways = [(m, other, there), (other, m, back)];
+                    let ways = ways.into_iter().filter_map(|(from, to, q)| Some((from, to, (*q)?)));
+                    for (from, to, quality) in ways {
+                        let link = |quality| Act::Peers { from, to, quality };
+                        pair(link(quality), link(Quality::default()), time);
+                    }
+                }
+            }
             Deed::PowerLoss { .. }
             | Deed::Load { .. }
             | Deed::Storm { .. }
@@ -353,7 +377,8 @@
         | Deed::NodeNeighbours { time, .. }
         | Deed::NodeDrain { time }
         | Deed::NodeRemove { time }
-        | Deed::Link { time, .. } => time.unwrap_or(0),
+        | Deed::Link { time, .. }
+        | Deed::Peers { time, .. } => time.unwrap_or(0),
         Deed::Load { over, .. } | Deed::Storm { over, .. } => *over,
         _ => 0,
     };
--- a/crates/rig/src/datagrams.rs
+++ b/crates/rig/src/datagrams.rs
@@ -1,10 +1,11 @@
 //! Datagrams between processes that know each other: for each ordered pair a socket of the rig, which
-//! hands on what it gets as the link says, from an address that the receiver knows the sender by.
+//! hands on what it gets as the link says, from an address that the receiver knows the sender by. Where no
+//! process runs its sockets are closed, so that the system answers as it would of the process's own address.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -26,7 +27,10 @@
 }
 
 struct Way {
-    socket: Rc<UdpSocket>,
+    address: SocketAddr,
+    /// None while the one that is meant does not run.
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    task: RefCell<Option<AbortHandle>>,
     quality: RefCell<Quality>,
     passage: RefCell<Passage>,
 }
@@ -36,42 +40,74 @@
 /// To process A, process B is the address [`Datagrams::address`] of the pair from A to B: what A sends
 /// there comes to B from the address of the pair from B to A, which is where B finds A.
 pub struct Datagrams {
+    processes: Vec<SocketAddr>,
     ways: HashMap<Pair, Rc<Way>>,
-    tasks: Vec<AbortHandle>,
 }
 
 impl Drop for Datagrams {
     fn drop(&mut self) {
-        self.tasks.iter().for_each(AbortHandle::abort);
+        self.ways.values().for_each(|way| way.close());
+    }
+}
+
+impl Way {
+    fn close(&self) {
+        if let Some(task) = self.task.take() {
+            task.abort();
+        }
+        self.socket.take();
     }
 }
 
 impl Datagrams {
-    /// Links all of these, which listen at these addresses, with one another.
-    pub async fn start(processes: &[SocketAddr], seed: u64) -> io::Result<Self> {
+    /// Links all of these, which listen at these addresses, with one another. All run. The net's own sockets
+    /// are at ports of `ip`, which is best nobody else's: one that is closed for a while has to be free again.
+    pub async fn start(processes: &[SocketAddr], ip: IpAddr, seed: u64) -> io::Result<Self> {
         let mut ways = HashMap::new();
         let n = processes.len();
         let pairs = (0..n).flat_map(|from| (0..n).map(move |to| Pair { from, to }));
         for pair in pairs.filter(|pair| pair.from != pair.to) {
-            let socket = Rc::new(UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?);
+            let socket = UdpSocket::bind((ip, 0)).await?;
+            let address = socket.local_addr()?;
+            let socket = RefCell::new(Some(Rc::new(socket)));
             let seed = seed.wrapping_mul(1_000_003).wrapping_add((pair.from * n + pair.to) as u64);
             let passage = RefCell::new(Passage::new(seed));
             let quality = RefCell::new(Quality::default());
-            ways.insert(pair, Rc::new(Way { socket, quality, passage }));
+            let task = RefCell::default();
+            ways.insert(pair, Rc::new(Way { address, socket, task, quality, passage }));
         }
-        let mut tasks = Vec::new();
-        for (pair, way) in &ways {
-            let Some(other) = ways.get(&Pair { from: pair.to, to: pair.from }) else { continue };
-            let (way, out) = (way.clone(), other.socket.clone());
-            let (sender, target) = (processes[pair.from], processes[pair.to]);
-            tasks.push(spawn_local(hand_on(way, out, sender, target)).abort_handle());
+        let net = Self { processes: processes.to_vec(), ways };
+        net.ways.keys().for_each(|pair| net.carry(*pair));
+        Ok(net)
+    }
+
+    fn carry(&self, pair: Pair) {
+        let back = Pair { from: pair.to, to: pair.from };
+        let (Some(way), Some(back)) = (self.ways.get(&pair), self.ways.get(&back)) else { return };
+        let Some(socket) = way.socket.borrow().clone() else { return };
+        let (sender, target) = (self.processes[pair.from], self.processes[pair.to]);
+        let task = spawn_local(hand_on(way.clone(), socket, back.clone(), sender, target));
+        *way.task.borrow_mut() = Some(task.abort_handle());
+    }
+
+    /// A process runs from now on, or no longer does.
+    pub fn runs(&self, process: usize, runs: bool) -> io::Result<()> {
+        for (pair, way) in self.ways.iter().filter(|(pair, _)| pair.to == process) {
+            if !runs {
+                way.close();
+            } else if way.socket.borrow().is_none() {
+                let socket = std::net::UdpSocket::bind(way.address)?;
+                socket.set_nonblocking(true)?;
+                *way.socket.borrow_mut() = Some(Rc::new(UdpSocket::from_std(socket)?));
+                self.carry(*pair);
+            }
         }
-        Ok(Self { ways, tasks })
+        Ok(())
     }
 
     /// Where the sender of this pair finds the receiver.
     pub fn address(&self, pair: Pair) -> Option<SocketAddr> {
-        self.ways.get(&pair)?.socket.local_addr().ok()
+        Some(self.ways.get(&pair)?.address)
     }
 
     /// Changes a way.
@@ -82,12 +118,18 @@
     }
 }
 
-async fn hand_on(way: Rc<Way>, out: Rc<UdpSocket>, sender: SocketAddr, target: SocketAddr) {
+async fn hand_on(
+    way: Rc<Way>,
+    socket: Rc<UdpSocket>,
+    back: Rc<Way>,
+    sender: SocketAddr,
+    target: SocketAddr,
+) {
     let start = Instant::now();
     // One byte more than is allowed shows what is too long.
     let mut buffer = [0; MOST + 1];
     loop {
-        let Ok((n, from)) = way.socket.recv_from(&mut buffer).await else { continue };
+        let Ok((n, from)) = socket.recv_from(&mut buffer).await else { continue };
         // What a stranger sends, and what is too long for the wire between balancers, is not theirs.
         if from != sender || n > MOST {
             continue;
@@ -98,7 +140,9 @@
             way.passage.borrow_mut().datagram(now, n, &quality)
         };
         for at in fate.0 {
-            let (out, bytes) = (out.clone(), buffer[..n].to_vec());
+            // Who sends no longer runs: what it left on the way has no address to come from.
+            let Some(out) = back.socket.borrow().clone() else { continue };
+            let bytes = buffer[..n].to_vec();
             let due = start + Duration::from_micros(at.max(0) as u64);
             if at <= now {
                 let _ = out.try_send_to(&bytes, target);
@@ -121,6 +165,7 @@
     use super::*;
 
     const LONG: Duration = Duration::from_secs(20);
+    const LOCALHOST: IpAddr = IpAddr::V4(std::net::Ipv4Addr::LOCALHOST);
 
     async fn with_two<F: Future>(what: impl FnOnce(Vec<UdpSocket>, Datagrams) -> F) -> F::Output {
         let local = LocalSet::new();
@@ -128,11 +173,10 @@
             .run_until(async {
                 let mut sockets = Vec::new();
                 for _ in 0..2 {
-                    sockets
-                        .push(UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a socket"));
+                    sockets.push(UdpSocket::bind((LOCALHOST, 0)).await.expect("a socket"));
                 }
                 let at: Vec<_> = sockets.iter().map(|s| s.local_addr().expect("bound")).collect();
-                let net = Datagrams::start(&at, 3).await.expect("a net");
+                let net = Datagrams::start(&at, LOCALHOST, 3).await.expect("a net");
                 what(sockets, net).await
             })
             .await
@@ -172,7 +216,7 @@
             sockets[1].send_to(b"back", back).await.expect("sent");
             assert_eq!(next(&sockets[0]).await.0, b"back");
             // A stranger's and one that is too long are dropped as well; what comes after shows it.
-            let stranger = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a socket");
+            let stranger = UdpSocket::bind((LOCALHOST, 0)).await.expect("a socket");
             net.set(THERE, Quality::default());
             stranger.send_to(b"stranger", there).await.expect("sent");
             sockets[0].send_to(&[7; MOST + 1], there).await.expect("sent");
@@ -200,4 +244,27 @@
         })
         .await;
     }
+
+    /// Where nobody runs the system says so to whoever asks from a connected socket; a silent way does not.
+    #[tokio::test]
+    async fn a_process_that_is_gone_is_told_from_one_that_is_cut_off() {
+        with_two(async |_, net| {
+            let there = net.address(THERE).expect("a way");
+            let knock = async || {
+                let socket = UdpSocket::bind((LOCALHOST, 0)).await.expect("a socket");
+                socket.connect(there).await.expect("connected");
+                socket.send(&[0]).await.expect("sent");
+                let mut buffer = [0; 1];
+                timeout(Duration::from_millis(300), socket.recv(&mut buffer)).await
+            };
+            net.set(THERE, Quality { way: Way::Silent, ..Quality::default() });
+            assert!(knock().await.is_err(), "nothing is said of one that is cut off");
+            net.runs(1, false).expect("closed");
+            let refused = knock().await.expect("an answer").expect_err("nobody is there");
+            assert_eq!(refused.kind(), io::ErrorKind::ConnectionRefused);
+            net.runs(1, true).expect("open again");
+            assert!(knock().await.is_err(), "it is back, and cut off as before");
+        })
+        .await;
+    }
 }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -19,6 +19,6 @@
 pub use datagrams::{Datagrams, Pair};
 pub use html::{beside, page};
 pub use net::Link;
-pub use play::{Options, Report, play};
+pub use play::{FleetRow, Options, Report, play};
 pub use table::{compared, table};
 pub use under::{Under, under};
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -2,11 +2,11 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant, SystemTime};
 
 use indicatif::{ProgressBar, ProgressStyle};
@@ -27,10 +27,11 @@
 
 use crate::child::{Child, Said, Start, Told};
 use crate::clients::{self, Class, Crowd, Progress};
+use crate::datagrams::{Datagrams, Pair};
 use crate::doors::Doors;
 use crate::gate::reserve;
 use crate::net::Link;
-use crate::site::{DRAIN, Folder, Listed};
+use crate::site::{DRAIN, Folder, Listed, Place};
 
 /// How long a process may take until it listens.
 const STARTS_WITHIN: Duration = Duration::from_secs(30);
@@ -92,10 +93,26 @@
     pub notes: Vec<String>,
     /// What each balancer said last of itself, if it was asked.
     pub statuses: Vec<Option<serde_json::Value>>,
+    /// The fleet over time, where its balancers know each other.
+    #[serde(default)]
+    pub fleet: Vec<FleetRow>,
     /// The programs, by name: which file each was.
     pub binaries: Vec<(String, String)>,
 }
 
+/// A fleet at a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FleetRow {
+    /// When, in microseconds from the first arrival.
+    pub at: i64,
+    /// How many run, and are not stopped.
+    pub running: usize,
+    /// What the parts of those add up to, as each logged last.
+    pub parts: f64,
+    /// How many views there are, as each said last.
+    pub views: usize,
+}
+
 /// A balancer's process, as the rig knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Life {
@@ -129,6 +146,8 @@
     half: bool,
     late: (i64, i64),
     clock: i64,
+    /// Its part of the servers, as it logged last.
+    part: f64,
     /// When it listened, and what it had run and waited then.
     judged_from: Option<(Instant, u64)>,
 }
@@ -140,6 +159,43 @@
     listed: bool,
 }
 
+/// The net between balancers that know each other.
+struct Talk {
+    net: Datagrams,
+    /// Where each takes datagrams.
+    addresses: Vec<SocketAddr>,
+}
+
+impl Talk {
+    /// Each balancer has a loopback address of its own, and so has the net: what one process gives up for a
+    /// while is free when it comes back, whatever ports others are given by chance.
+    async fn start(balancers: usize, seed: u64) -> std::io::Result<Self> {
+        static PLAYS: AtomicU32 = AtomicU32::new(0);
+        // 127.64.0.0/10, by process and play: tests run beside each other.
+        let play = std::process::id().wrapping_mul(16) + PLAYS.fetch_add(1, Ordering::Relaxed) % 16;
+        let base = 0x7f40_0000 | (play % 0x2000) << 9;
+        let ip = |i: usize| Ipv4Addr::from(base + i as u32 + 1);
+        let held = (0..balancers).map(|b| UdpSocket::bind((ip(b), 0)));
+        let held = held.collect::<std::io::Result<Vec<_>>>()?;
+        let addresses: Vec<SocketAddr> =
+            held.iter().map(UdpSocket::local_addr).collect::<Result<_, _>>()?;
+        let net = Datagrams::start(&addresses, ip(balancers).into(), seed).await?;
+        Ok(Self { net, addresses })
+    }
+
+    /// All members, as this balancer finds them.
+    fn place(&self, balancer: usize) -> Place {
+        let member = |b: usize| {
+            let at = match self.net.address(Pair { from: balancer, to: b }) {
+                Some(at) => at,
+                None => self.addresses[b],
+            };
+            (format!("b{}", b + 1), at)
+        };
+        Place { members: (0..self.addresses.len()).map(member).collect() }
+    }
+}
+
 struct Play<'s> {
     script: &'s Script,
     timeline: &'s Timeline,
@@ -148,6 +204,11 @@
     twins: HashMap<u64, (usize, Child)>,
     nodes: Vec<Rc<Shell>>,
     links: Vec<Vec<Rc<Link>>>,
+    /// What balancers that know each other say to each other passes here.
+    talk: Option<Talk>,
+    fleet: Vec<FleetRow>,
+    /// Since when all that run agree.
+    agreed: Option<Instant>,
     truth: Vec<Truth>,
     phases: Vec<Phase>,
     doors: Doors,
@@ -184,7 +245,8 @@
     let Rlimit { current, maximum } = getrlimit(Resource::Nofile);
     let pairs = (script.fleet.balancers * script.nodes.count) as u64;
     // A gate and its listener for each pair, and both ends of a connection for some.
-    let need = pairs * 4 + DESCRIPTORS_OTHER;
+    let talk = if script.fleet.members { script.fleet.balancers.pow(2) as u64 } else { 0 };
+    let need = pairs * 4 + talk + DESCRIPTORS_OTHER;
     let most = maximum.unwrap_or(u64::MAX);
     if most < need {
         return Err(format!(
@@ -226,6 +288,10 @@
     std::fs::write(out.join("timeline.txt"), timeline.to_string()).map_err(io("timeline.txt"))?;
     let (told, mut tells) = unbounded_channel();
     let mut play = Play::prepare(script, &timeline, options, told)?;
+    if script.fleet.members {
+        let talk = Talk::start(script.fleet.balancers, options.seed).await;
+        play.talk = Some(talk.map_err(io("the net between balancers"))?);
+    }
     play.start_all(&mut tells).await?;
     // Everyone is there: the clock starts.
     let mut crowd = play.crowd(all.clone());
@@ -273,7 +339,8 @@
     binaries.sort();
     let notes = std::mem::take(&mut play.notes);
     let statuses = std::mem::take(&mut play.statuses);
-    Ok(Report { account, verdict, machine, notes, statuses, binaries })
+    let fleet = std::mem::take(&mut play.fleet);
+    Ok(Report { account, verdict, machine, notes, statuses, fleet, binaries })
 }
 
 impl<'s> Play<'s> {
@@ -350,6 +417,7 @@
                 half: false,
                 late: script.nodes.list_late,
                 clock: 0,
+                part: 0.0,
                 judged_from: None,
             });
         }
@@ -373,6 +441,9 @@
             twins: HashMap::new(),
             nodes,
             links,
+            talk: None,
+            fleet: Vec::new(),
+            agreed: None,
             told,
             numbers: 0,
             lists: BinaryHeap::new(),
@@ -466,8 +537,12 @@
         folder.sync().map_err(named)?;
         self.write_site(b).map_err(named)?;
         self.write_list(b).map_err(named)?;
+        if let Some(talk) = &self.talk {
+            talk.net.runs(b, true).map_err(|e| format!("b{}: the net: {e}", b + 1))?;
+        }
         let child = self.spawn(b)?;
         let balancer = &mut self.balancers[b];
+        balancer.part = 0.0;
         balancer.child = Some(child);
         balancer.life = Life::Starting;
         balancer.log.clear();
@@ -478,7 +553,10 @@
     fn write_site(&self, b: usize) -> std::io::Result<()> {
         let Balancer { folder, address, says, agent, .. } = &self.balancers[b];
         match agent {
-            None => folder.site(self.script, b, *address, *says),
+            None => {
+                let place = self.talk.as_ref().map(|talk| talk.place(b));
+                folder.site(self.script, b, *address, *says, place.as_ref())
+            }
             Some((_, agent)) => folder.platform(self.script, b, *address, *says, *agent),
         }
     }
@@ -546,6 +624,10 @@
         let now = Instant::now();
         let at = self.micros(now);
         let balancer = &mut self.balancers[b];
+        if let Some((_, part)) = line.split_once("sableloom: fleet: part: ") {
+            let of = part.strip_prefix("1 of ").map(|of| of.split(',').next().unwrap_or(of));
+            balancer.part = of.and_then(|of| of.parse::<f64>().ok()).map_or(0.0, f64::recip);
+        }
         if balancer.life == Life::Starting && line.contains("listening on") {
             balancer.life = Life::Up;
             let waited = balancer.child.as_ref().and_then(Child::scheduled).map_or(0, |s| s.1);
@@ -555,6 +637,7 @@
                 self.facts.outages.push(Outage { balancer: b, from, to: at });
             }
             self.doors.open(b);
+            self.forget_views();
         }
         let balancer = &mut self.balancers[b];
         if balancer.log.len() == LINES {
@@ -567,6 +650,13 @@
         let now = Instant::now();
         let balancer = &mut self.balancers[b];
         let status = balancer.child.take().and_then(|mut child| child.reap());
+        // From here on nobody is there, and the system says so.
+        let gone = self.talk.as_ref().map(|talk| talk.net.runs(b, false));
+        if let Some(Err(e)) = gone {
+            self.notes.push(format!("b{}: the net: {e}", b + 1));
+        }
+        self.forget_views();
+        let balancer = &mut self.balancers[b];
         let life = std::mem::replace(&mut balancer.life, Life::Down);
         let well = status.is_some_and(|status| status.success());
         let asked = life == Life::Killed || (life == Life::Ending && well);
@@ -590,6 +680,15 @@
         }
     }
 
+    /// Who is there has changed: what was said before counts for nothing.
+    fn forget_views(&mut self) {
+        // What all said before the end began is what the report tells.
+        if self.talk.is_some() && !self.ending {
+            self.agreed = None;
+            self.statuses.fill(None);
+        }
+    }
+
     fn start_again(&mut self, b: usize) {
         if let Err(e) = self.start_one(b) {
             let at = self.now();
@@ -630,6 +729,7 @@
         if !std::mem::take(&mut self.balancers[b].frozen) {
             return;
         }
+        self.forget_views();
         self.signal(b, Signal::CONT);
         self.doors.stopped(b, false);
         if let Some(from) = self.balancers[b].out_since.take() {
@@ -800,6 +900,11 @@
             Act::Link { balancer, node, there, back } => {
                 self.links[*balancer][*node].set(*there, *back);
             }
+            Act::Peers { from, to, quality } => {
+                if let Some(talk) = &self.talk {
+                    talk.net.set(Pair { from: *from, to: *to }, *quality);
+                }
+            }
             Act::Load(_) => {}
         }
         self.look_at_nodes();
@@ -871,9 +976,28 @@
             self.sent[n] = sent;
             self.facts.nodes[n].push(row);
         }
+        if self.talk.is_some() {
+            let acts = |b: &&(usize, &Balancer)| b.1.life == Life::Up && !b.1.frozen;
+            let acting: Vec<_> = self.balancers.iter().enumerate().collect();
+            let acting: Vec<_> = acting.iter().filter(acts).collect();
+            let digest = |b: usize| self.statuses[b].as_ref()?.pointer("/fleet/digest");
+            let views: HashSet<_> =
+                acting.iter().filter_map(|(b, _)| digest(*b)?.as_str()).collect();
+            let parts = acting.iter().map(|(_, balancer)| balancer.part).sum();
+            let row = FleetRow { at, running: acting.len(), parts, views: views.len() };
+            let running = acting.len() as u64;
+            let agrees = |b: usize| {
+                let number = |path| self.statuses[b].as_ref()?.pointer(path)?.as_u64();
+                number("/fleet/hears") == Some(running)
+                    && number("/fleet/part/balancers") == Some(running)
+            };
+            let agreed = views.len() == 1 && acting.iter().all(|(b, _)| agrees(*b));
+            self.agreed = if agreed { self.agreed.or(Some(now)) } else { None };
+            self.fleet.push(row);
+        }
         // Each says of itself what can't be seen from outside. An older program may not know the signal,
         // and would end.
-        let ask = self.samples.is_multiple_of(ASK_EVERY);
+        let ask = self.talk.is_some() || self.samples.is_multiple_of(ASK_EVERY);
         self.samples += 1;
         for balancer in &mut self.balancers {
             let own = balancer.binary.is_none() && balancer.agent.is_none() && self.options.own();
@@ -911,7 +1035,7 @@
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut next_sample = self.start + SAMPLE;
-        while !(steps.is_empty() && self.later.is_empty() && over()) {
+        while !(steps.is_empty() && self.later.is_empty() && over() && self.agrees()) {
             let due = steps.front().map(|step| self.start + Duration::from_micros(step.at as u64));
             let next = async {
                 match due {
@@ -962,6 +1086,13 @@
         }
     }
 
+    /// Whether all agree that are expected to, or no longer can in time.
+    fn agrees(&self) -> bool {
+        let Some(within) = self.script.expect.agree_within else { return true };
+        let last = self.timeline.faults().map_or(0, |(_, last)| last);
+        self.agreed.is_some() || self.now() > last + within
+    }
+
     fn bar(&self) -> Option<ProgressBar> {
         let bar =
             self.options.progress.then(|| ProgressBar::new((self.script.length / MS) as u64))?;
@@ -1004,6 +1135,7 @@
 
     /// The facts that are left to gather.
     fn gather(&mut self, arrivals: &[sableloom_rehearsal::Arrival]) {
+        self.facts.agreed = self.agreed.map(|at| self.micros(at));
         self.facts.arrivals = arrivals.iter().map(|a| (a.at, a.class, a.zone)).collect();
         for b in 0..self.balancers.len() {
             if let Some(from) = self.balancers[b].out_since.take() {
--- a/crates/rig/src/site.rs
+++ b/crates/rig/src/site.rs
@@ -29,6 +29,13 @@
     pub drains: bool,
 }
 
+/// A balancer's place among those that know each other.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// All members, as this balancer finds them.
+    pub members: Vec<(String, SocketAddr)>,
+}
+
 /// A folder.
 #[derive(Clone, Debug)]
 pub struct Folder(PathBuf);
@@ -73,6 +80,7 @@
         balancer: usize,
         address: SocketAddr,
         says: usize,
+        place: Option<&Place>,
     ) -> io::Result<()> {
         let mut text = String::new();
         let fleet = &script.fleet;
@@ -87,6 +95,14 @@
             let _ = writeln!(text, "zones = [{}]\nzone = {}", zones.join(", "), quoted(zone));
         }
         let _ = writeln!(text, "\n[[listener]]\naddress = \"{address}\"\n");
+        if let Some(place) = place {
+            let _ = writeln!(text, "[fleet]\nname = \"rehearsal\"\nown = \"b{}\"\n", balancer + 1);
+            for (name, address) in &place.members {
+                let name = quoted(name);
+                let _ =
+                    writeln!(text, "[[fleet.member]]\nname = {name}\naddress = \"{address}\"\n");
+            }
+        }
         for class in &script.classes {
             let (effect, methods) = match class.effect {
                 Effect::Safe => ("safe", "GET"),
--- a/crates/rig/src/table.rs
+++ b/crates/rig/src/table.rs
@@ -5,7 +5,7 @@
 use comfy_table::{Table, presets};
 use sableloom_rehearsal::{Row, Verdict};
 
-use crate::play::Report;
+use crate::play::{FleetRow, Report};
 
 fn share(n: u64, of: u64) -> String {
     if of == 0 { "-".into() } else { format!("{:.3}", n as f64 / of as f64) }
@@ -41,6 +41,30 @@
     if all.asked == 0 { "-".into() } else { format!("{:.2}", all.served_share()) }
 }
 
+/// What balancers that know each other had together, and when they agreed.
+fn fleet(report: &Report) -> String {
+    let last = |second: i64| {
+        let within = |row: &&FleetRow| row.at.div_euclid(1_000_000) == second;
+        report.fleet.iter().rev().find(within)
+    };
+    let end = report.fleet.last().map_or(0, |row| row.at / 1_000_000);
+    let parts = (0..=end).filter_map(|s| last(s).map(|row| format!("{:.2}", row.parts)));
+    let most = report.fleet.iter().map(|row| row.parts).fold(0.0, f64::max);
+    let views = (0..=end).filter_map(|s| last(s).map(|row| row.views.to_string()));
+    let agreed = match report.account.agreed_after {
+        Some(after) if after >= 0 => {
+            format!("all agree {:.1} s after the last deed", after as f64 / 1e6)
+        }
+        Some(_) => "all agree since before the last deed".to_string(),
+        None => "they do not all agree at the end".to_string(),
+    };
+    format!(
+        "parts of all by second: {} (at most {most:.3})\nviews among them: {}; {agreed}",
+        parts.collect::<Vec<_>>().join(" "),
+        views.collect::<Vec<_>>().join(" ")
+    )
+}
+
 /// The table by phase, the rules, the machine and the verdict.
 pub fn table(report: &Report) -> String {
     let account = &report.account;
@@ -95,6 +119,9 @@
          a request{back}",
         account.cold_peak, account.falls, account.tries, account.attempts
     );
+    if !report.fleet.is_empty() {
+        let _ = writeln!(text, "{}", fleet(report));
+    }
     for crash in &account.crashes {
         let _ = writeln!(text, "ended unasked: {crash}");
     }
--- a/crates/sableloom/tests/fleet/main.rs
+++ b/crates/sableloom/tests/fleet/main.rs
@@ -2,7 +2,9 @@
 //! sockets whatever is done. Nothing here is judged by its time: the limits are far past any machine's
 //! pace, and a fault that needs a moment waits for it.
 
+mod direct;
 mod faults;
+mod members;
 mod rig;
 
 use std::path::PathBuf;
--- /dev/null
+++ b/crates/sableloom/tests/fleet/members.rs
@@ -0,0 +1,175 @@
+//! Balancers that know each other: each fault, what they then believe, and that nobody ever takes for its own
+//! what somebody else may still use. The four rules are looked at in every run, as everywhere here.
+
+use sableloom_rig::Report;
+use serde_json::Value;
+
+use crate::{Run, rehearse_with};
+
+/// Plays a script of balancers that know each other, until they agree after the last deed.
+fn know(balancers: usize, seconds: u32, more: &str) -> Run {
+    let text = format!("{more}\n[expect]\nagree_within_ms = 120000\n");
+    let fleet = "members = true";
+    rehearse_with(balancers, 3, 40, seconds, &text, |_| {}, fleet).expect("it is played")
+}
+
+/// The numbers of balancers that a process said it shared with, in their order.
+fn shares(log: &str) -> Vec<u32> {
+    let parts = log.lines().filter_map(|line| line.split_once("fleet: part: 1 of "));
+    let number = |text: &str| text.split(',').next().and_then(|n| n.parse().ok());
+    parts.filter_map(|(_, of)| number(of)).collect()
+}
+
+/// Nobody ever had more than one of so many.
+fn nobody_has_more_than(run: &Run, of: u32) {
+    for (b, log) in run.logs.iter().enumerate() {
+        let all = shares(log);
+        assert!(!all.is_empty() && all.iter().all(|n| *n >= of), "b{}: {all:?}", b + 1);
+    }
+}
+
+fn status<'r>(report: &'r Report, balancer: usize, path: &str) -> &'r Value {
+    let status = report.statuses[balancer].as_ref().expect("it was asked");
+    status.pointer(path).unwrap_or_else(|| panic!("no {path} in {status}"))
+}
+
+fn agreed_on(run: &Run, running: &[usize]) {
+    run.is_sound();
+    assert!(run.report.account.agreed_after.is_some());
+    for b in running {
+        assert_eq!(status(&run.report, *b, "/fleet/part/balancers"), running.len(), "b{}", b + 1);
+    }
+}
+
+#[test]
+fn who_starts_together_knows_all_and_shares() {
+    let run = know(8, 4, "");
+    agreed_on(&run, &[0, 1, 2, 3, 4, 5, 6, 7]);
+    nobody_has_more_than(&run, 8);
+}
+
+#[test]
+fn what_one_that_was_killed_had_goes_over_to_the_rest() {
+    let more = "[[event]]\nat_ms = 1500\ndo = \"kill\"\nwho = \"b1\"\nwhen = \"effect-out\"\n";
+    let run = know(5, 5, more);
+    agreed_on(&run, &[1, 2, 3, 4]);
+    let told = run.logs[1..].iter().filter(|log| log.contains("b1 counts as dead"));
+    assert_eq!(told.count(), 4);
+    nobody_has_more_than(&run, 4);
+}
+
+#[test]
+fn most_killed_at_once_leave_all_to_the_few() {
+    let more = "[[group]]\nname = \"most\"\nof = \"balancers\"\ncount = 5\n\
+                [[event]]\nat_ms = 1500\ndo = \"kill\"\nwho = \"most\"\n";
+    let run = know(8, 5, more);
+    agreed_on(&run, &[5, 6, 7]);
+    nobody_has_more_than(&run, 3);
+}
+
+#[test]
+fn who_comes_back_has_its_part_again_and_nobody_keeps_it() {
+    let more = "[[group]]\nname = \"half\"\nof = \"balancers\"\ncount = 3\n\
+                [[event]]\nat_ms = 1000\ndo = \"kill\"\nwho = \"half\"\n\
+                back = { least_ms = 2000, most_ms = 3000 }\n";
+    let run = know(6, 6, more);
+    agreed_on(&run, &[0, 1, 2, 3, 4, 5]);
+    for log in &run.logs[3..] {
+        let all = shares(log);
+        assert!(all.contains(&3) && all.last() == Some(&6), "{all:?}");
+    }
+    for log in &run.logs[..3] {
+        // In its second life as in its first it waits for the others, and then has its own.
+        let again = log.rsplit_once("listening on").expect("it came back").1;
+        assert!(shares(again).iter().all(|n| *n >= 4), "{again}");
+    }
+}
+
+#[test]
+fn a_restart_within_a_second_is_another_life() {
+    let more = "[[event]]\nat_ms = 1500\ndo = \"kill\"\nwho = \"b2\"\n\
+                back = { least_ms = 300, most_ms = 300 }\n";
+    let run = know(4, 5, more);
+    agreed_on(&run, &[0, 1, 2, 3]);
+    for b in [0, 2, 3] {
+        let lives = run.logs[b].lines().filter(|line| line.contains("fleet: b2 is there, life "));
+        let lives: std::collections::BTreeSet<&str> = lives.collect();
+        assert_eq!(lives.len(), 2, "b{}: {lives:?}", b + 1);
+    }
+}
+
+/// A stopped process holds its address: it may go on at any moment, and nobody takes what it has.
+#[test]
+fn one_that_is_frozen_loses_nothing_and_throws_nobody_out() {
+    let more = "[[event]]\nat_ms = 1500\ndo = \"freeze\"\nwho = \"b3\"\nfor_ms = 10000\n";
+    let run = know(5, 13, more);
+    agreed_on(&run, &[0, 1, 2, 3, 4]);
+    nobody_has_more_than(&run, 5);
+    let missed = |log: &String| log.contains("b3 counts as dead");
+    assert!(run.logs.iter().filter(|log| missed(log)).count() >= 4, "it was not missed");
+    let own = &run.logs[2];
+    assert!(own.contains("did not run for a while") && !own.contains("counts as dead"), "{own}");
+}
+
+#[test]
+fn halves_that_were_cut_apart_take_nothing_from_each_other() {
+    let more = "[[group]]\nname = \"left\"\nof = \"balancers\"\ncount = 3\n\
+                [[group]]\nname = \"right\"\nof = \"balancers\"\nmembers = [\"b4\", \"b5\", \"b6\"]\n\
+                [[event]]\nat_ms = 1000\ndo = \"peers\"\nwho = \"left\"\nto = \"right\"\n\
+                how = \"silent\"\nfor_ms = 9000\n";
+    let run = know(6, 12, more);
+    agreed_on(&run, &[0, 1, 2, 3, 4, 5]);
+    nobody_has_more_than(&run, 6);
+    let missed = run.logs.iter().filter(|log| log.contains("counts as dead")).count();
+    assert_eq!(missed, 6, "the cut was not noticed by all");
+}
+
+#[test]
+fn one_that_hears_and_is_not_heard_keeps_its_own() {
+    let more = "[[event]]\nat_ms = 1000\ndo = \"peers\"\nwho = \"b1\"\nto = \"all\"\nway = \"there\"\n\
+                how = \"silent\"\nfor_ms = 6000\n";
+    let run = know(5, 9, more);
+    agreed_on(&run, &[0, 1, 2, 3, 4]);
+    nobody_has_more_than(&run, 5);
+}
+
+#[test]
+fn loss_doubling_and_disorder_leave_all_in_agreement() {
+    let more = "[[event]]\nat_ms = 500\ndo = \"peers\"\nwho = \"all\"\nto = \"all\"\nloss = 0.3\n\
+                doubled = 0.3\nreordered = 0.3\ndelay_ms = 5\njitter_ms = 40\nfor_ms = 8000\n";
+    let run = know(6, 10, more);
+    agreed_on(&run, &[0, 1, 2, 3, 4, 5]);
+    nobody_has_more_than(&run, 6);
+}
+
+#[test]
+fn after_a_loss_of_all_power_all_share_again() {
+    let more = "[[event]]\nat_ms = 1500\ndo = \"power-loss\"\nwho = \"all\"\nkeep = \"empty\"\n\
+                back = { least_ms = 0, most_ms = 1000 }\n";
+    let run = know(6, 6, more);
+    agreed_on(&run, &[0, 1, 2, 3, 4, 5]);
+    assert!(run.logs.iter().all(|log| log.matches("listening on").count() == 2));
+}
+
+#[test]
+fn a_planned_restart_of_one_after_another_is_told_and_loses_nothing() {
+    let more = "[[event]]\nat_ms = 500\ndo = \"term\"\nwho = \"all\"\nspread_ms = 12000\n\
+                back = { least_ms = 1000, most_ms = 1500 }\n";
+    let run = know(4, 14, more);
+    agreed_on(&run, &[0, 1, 2, 3]);
+    let left = run.logs.iter().filter(|log| log.contains(" has left")).count();
+    assert!(left >= 3, "{left} of 4 were told that another left");
+}
+
+/// Each is killed and comes back several times, close after another.
+#[test]
+fn members_that_flap_are_counted_when_they_are_there() {
+    let more = "[[event]]\nat_ms = 1000\ndo = \"kill\"\nwho = \"b1\"\nevery_ms = 1500\ntimes = 3\n\
+                back = { least_ms = 500, most_ms = 500 }\n\
+                [[event]]\nat_ms = 1600\ndo = \"kill\"\nwho = \"b2\"\nevery_ms = 1700\ntimes = 2\n\
+                back = { least_ms = 400, most_ms = 400 }\n";
+    let run = know(5, 8, more);
+    agreed_on(&run, &[0, 1, 2, 3, 4]);
+    // At no time were more than two gone.
+    nobody_has_more_than(&run, 3);
+}
