--- a/crates/checked/src/lib.rs
+++ b/crates/checked/src/lib.rs
@@ -390,6 +390,16 @@
     /// An address with a port, that must be there. Names are not looked up.
     pub fn need_address(&self, name: &'static str) -> Option<Found<SocketAddr>> {
         let found = self.need_text(name, "an IP address with a port, as \"127.0.0.1:8080\"")?;
+        self.as_address(found)
+    }
+
+    /// An address with a port. Names are not looked up.
+    pub fn address(&self, name: &'static str) -> Option<Found<SocketAddr>> {
+        let found = self.text(name)?;
+        self.as_address(found)
+    }
+
+    fn as_address(&self, found: Found<String>) -> Option<Found<SocketAddr>> {
         if let Ok(address) = found.value.parse::<SocketAddr>() {
             return Some(found.map(|_| address));
         }
--- /dev/null
+++ b/crates/members/examples/detection.rs
@@ -0,0 +1,263 @@
+//! How soon a death is known, how many are held dead that live, and what it costs: the members' talk, the
+//! same without doubt of oneself (plain SWIM), and heartbeats of all to all, on one simulated net.
+//!
+//! `cargo run --release -p sableloom-members --example detection`, some two minutes. Times are the model's.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use sableloom_members::{Change, Fleet, Health, Key, Listed, Out, Times, key_of};
+use sableloom_simnet::{MS, Net, Process, S, Sent, address, place};
+use sableloom_types::{Span, Time};
+
+/// From one probe, or heartbeat, to the next.
+const PERIOD: i64 = 200 * MS;
+/// Heartbeats that may be missing in a row: as long as the shortest doubt among ten.
+const MISSED: i64 = 5;
+/// How long a fleet is watched before one is killed,
+const WATCHED: i64 = 30 * S;
+/// and after it.
+const AFTER: i64 = 60 * S;
+
+enum Member {
+    Talks(Box<Fleet>),
+    Beats(Heart),
+}
+
+/// Tells all that it is there, each period.
+struct Heart {
+    own: usize,
+    heard: Vec<Time>,
+    dead: Vec<bool>,
+    next: Time,
+}
+
+fn key(i: usize) -> Key {
+    key_of(&format!("m{i}"))
+}
+
+fn passed(out: Out, sent: &mut Sent<Change>) {
+    sent.datagrams.extend(out.datagrams);
+    sent.changes.extend(out.changes);
+}
+
+impl Process for Member {
+    type Change = Change;
+
+    fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], sent: &mut Sent<Change>) {
+        match self {
+            Member::Talks(fleet) => {
+                let mut out = Out::default();
+                fleet.datagram(now, from, bytes, &mut out);
+                passed(out, sent);
+            }
+            Member::Beats(heart) => {
+                let Some(i) = place(from) else { return };
+                heart.heard[i] = now;
+                if std::mem::take(&mut heart.dead[i]) {
+                    sent.changes.push(Change::Joined(key(i), 0));
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Time, sent: &mut Sent<Change>) {
+        match self {
+            Member::Talks(fleet) => {
+                let mut out = Out::default();
+                fleet.tick(now, &mut out);
+                passed(out, sent);
+            }
+            Member::Beats(heart) => {
+                heart.next = now.plus(Span(PERIOD));
+                for i in (0..heart.heard.len()).filter(|i| *i != heart.own) {
+                    // As many bytes as a ping without news.
+                    sent.datagrams.push((address(i), vec![0; 36]));
+                    if now.since(heart.heard[i]).0 > MISSED * PERIOD && !heart.dead[i] {
+                        heart.dead[i] = true;
+                        sent.changes.push(Change::Died(key(i), key(heart.own)));
+                    }
+                }
+            }
+        }
+    }
+
+    fn next(&self) -> Time {
+        match self {
+            Member::Talks(fleet) => fleet.next(),
+            Member::Beats(heart) => heart.next,
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum How {
+    Members,
+    Swim,
+    Heartbeats,
+}
+
+struct Seen {
+    /// Until the first, and the last of those that live, knew it; of the kills.
+    first: Vec<i64>,
+    all: Vec<i64>,
+    /// Deaths of members that lived, as told by any of the others, a member and hour.
+    false_deaths: f64,
+    /// How long those were held, in all, a member and hour, in seconds.
+    held: f64,
+    packets: f64,
+    bytes: f64,
+}
+
+fn dead(member: &Member, of: usize) -> bool {
+    match member {
+        Member::Talks(fleet) => {
+            fleet.peers().iter().any(|p| p.key == key(of) && p.health == Health::Dead)
+        }
+        Member::Beats(heart) => heart.dead[of],
+    }
+}
+
+/// Watches a fleet; with `slow`, one in ten does nothing for 600 ms every 2 s.
+fn play(n: usize, loss: f64, slow: bool, how: How, seed: u64) -> Seen {
+    let mut net: Net<Member> = Net::new(n, seed, 0.01);
+    let list: Vec<Listed> =
+        (0..n).map(|i| Listed { name: format!("m{i}"), address: address(i) }).collect();
+    for i in 0..n {
+        net.start(i, |life, seed, now| match how {
+            How::Heartbeats => Member::Beats(Heart {
+                own: i,
+                heard: vec![now; n],
+                dead: vec![false; n],
+                next: now.plus(Span(seed as i64 & 0xffff)),
+            }),
+            _ => {
+                let times = Times { doubts_itself: how == How::Members, ..Times::default() };
+                let fleet = Fleet::new("fleet", &format!("m{i}"), life, &list, times, seed, now);
+                Member::Talks(Box::new(fleet))
+            }
+        });
+        if let Some(Member::Talks(_)) = &net.places[i].process {
+            net.call(i, |member, now, sent| {
+                if let Member::Talks(fleet) = member {
+                    let mut out = Out::default();
+                    fleet.greet(now, &mut out);
+                    passed(out, sent);
+                }
+            });
+        }
+    }
+    // They meet.
+    let slice = 10 * MS;
+    let pass = |net: &mut Net<Member>, until: i64| {
+        while net.now < until {
+            if slow && net.now % (2 * S) < slice {
+                (0..n).step_by(10).for_each(|i| net.stop(i, 600 * MS));
+            }
+            let next = (net.now + slice).min(until);
+            net.run(next);
+        }
+    };
+    // Heartbeats of a thousand are a hundred times the events: they are watched for less.
+    let watched = if how == How::Heartbeats && n > 500 { S } else { WATCHED };
+    pass(&mut net, 10 * S * watched / WATCHED);
+    net.places.iter_mut().for_each(|place| place.changes.clear());
+    net.loss = loss;
+    let (sent, bytes, from) = (net.sent, net.bytes, net.now);
+    let until = net.now + watched;
+    pass(&mut net, until);
+    let seconds = (net.now - from) as f64 / S as f64 * n as f64;
+    let (packets, bytes) =
+        ((net.sent - sent) as f64 / seconds, (net.bytes - bytes) as f64 / seconds);
+    let (mut deaths, mut held) = (0usize, 0i64);
+    for place in &net.places {
+        let mut since: HashMap<Key, i64> = HashMap::new();
+        for (at, change) in &place.changes {
+            match change {
+                Change::Died(of, _) => {
+                    deaths += 1;
+                    since.insert(*of, *at);
+                }
+                Change::Joined(of, _) => held += since.remove(of).map_or(0, |from| at - from),
+                _ => {}
+            }
+        }
+        held += since.values().map(|from| net.now - from).sum::<i64>();
+    }
+    let hours = seconds / 3600.0;
+    let mut seen = Seen {
+        first: Vec::new(),
+        all: Vec::new(),
+        false_deaths: deaths as f64 / hours,
+        held: held as f64 / S as f64 / hours,
+        packets,
+        bytes,
+    };
+    // One is killed that everybody holds for living.
+    let victim = 1;
+    net.kill(victim);
+    let from = net.now;
+    let mut first = None;
+    while net.now < from + AFTER {
+        let until = net.now + slice;
+        pass(&mut net, until);
+        let others = (0..n).filter(|i| *i != victim);
+        let knows = |i: usize| net.places[i].process.as_ref().is_some_and(|m| dead(m, victim));
+        if first.is_none() && others.clone().any(knows) {
+            first = Some(net.now - from);
+        }
+        if others.clone().all(knows) {
+            seen.first.extend(first);
+            seen.all.push(net.now - from);
+            break;
+        }
+    }
+    seen
+}
+
+fn middle(times: &mut [i64]) -> String {
+    times.sort_unstable();
+    times.get(times.len() / 2).map_or("-".to_string(), |us| format!("{:.1}", *us as f64 / 1e6))
+}
+
+fn main() {
+    println!(
+        "how, members, loss, one in ten slow | death known to the first and to all, s (middle) | false \
+         deaths told a member and hour, seconds held | packets and bytes a second and member"
+    );
+    for n in [10, 100, 1000] {
+        for (loss, slow) in [(0.0, false), (0.05, false), (0.3, false), (0.0, true)] {
+            for (name, how) in
+                [("members", How::Members), ("SWIM", How::Swim), ("heartbeats", How::Heartbeats)]
+            {
+                let seeds = if n == 10 {
+                    20
+                } else if n == 100 {
+                    6
+                } else {
+                    1
+                };
+                let seen: Vec<Seen> = std::thread::scope(|scope| {
+                    let played: Vec<_> = (0..seeds)
+                        .map(|seed| scope.spawn(move || play(n, loss, slow, how, seed)))
+                        .collect();
+                    played.into_iter().map(|one| one.join().expect("it is played")).collect()
+                });
+                let mean = |of: fn(&Seen) -> f64| seen.iter().map(of).sum::<f64>() / seeds as f64;
+                let mut first: Vec<i64> = seen.iter().flat_map(|s| s.first.clone()).collect();
+                let mut all: Vec<i64> = seen.iter().flat_map(|s| s.all.clone()).collect();
+                println!(
+                    "{name:10} {n:5} {loss:4} {slow:5} | {:>5} {:>5} ({} of {seeds}) | {:8.1} {:8.1} | \
+                     {:6.1} {:8.0}",
+                    middle(&mut first),
+                    middle(&mut all),
+                    all.len(),
+                    mean(|s| s.false_deaths),
+                    mean(|s| s.held),
+                    mean(|s| s.packets),
+                    mean(|s| s.bytes),
+                );
+            }
+        }
+    }
+}
--- a/crates/members/src/fleet.rs
+++ b/crates/members/src/fleet.rs
@@ -33,6 +33,9 @@
     pub doubt_most: f64,
     /// How often news is passed on, for each doubling of the fleet's size.
     pub pass_on: f64,
+    /// Whether it doubts itself when it is late, accused or unheard. Without that it is plain SWIM, which
+    /// is there to be compared with.
+    pub doubts_itself: bool,
 }
 
 impl Default for Times {
@@ -45,6 +48,7 @@
             doubt_least: 5.0,
             doubt_most: 6.0,
             pass_on: 3.0,
+            doubts_itself: true,
         }
     }
 }
@@ -448,7 +452,9 @@
     }
 
     fn doubt_itself(&mut self, more: u32) {
-        self.doubt = (self.doubt + more).min(DOUBT_MOST);
+        if self.times.doubts_itself {
+            self.doubt = (self.doubt + more).min(DOUBT_MOST);
+        }
     }
 
     // ------------------------------------------------------------ what is said
@@ -634,7 +640,7 @@
         let Some(due) = self.due else { return };
         let late = now.since(due).f();
         let periods = late / self.times.period.f();
-        if periods < 0.5 {
+        if periods < 0.5 || !self.times.doubts_itself {
             return;
         }
         self.doubt_itself(periods.ceil().min(f64::from(DOUBT_MOST)) as u32);
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -654,3 +654,37 @@
     let refused = (1000..1500).filter(|&id| w.refused(id)).count();
     assert!(refused > 300, "{refused} of 500 refused at once");
 }
+
+/// Sent and not refused of a flood at once.
+fn lanes(w: &mut World, ids: std::ops::Range<u64>) -> usize {
+    ids.clone().for_each(|id| w.request(id, 0));
+    let out = ids.clone().filter(|id| w.out(*id).is_some()).count();
+    w.pass(Span(50 * MS));
+    ids.for_each(|id| w.outcome(id, 0, Outcome::Ok));
+    out
+}
+
+#[test]
+fn a_part_that_shrinks_is_given_up_at_once_and_one_that_grows_is_a_start() {
+    let mut w = World::with_servers(Settings { balancers: 4, ..settings() }, 16);
+    let quarter = lanes(&mut w, 0..400);
+    w.balancer.shared_by(16);
+    let sixteenth = lanes(&mut w, 400..800);
+    assert!(sixteenth > 0 && sixteenth * 2 < quarter, "{sixteenth} of {quarter}");
+    w.balancer.shared_by(4);
+    let again = lanes(&mut w, 800..1200);
+    assert!(again > sixteenth && again <= quarter + 16, "{sixteenth}, then {again} of {quarter}");
+    // One that was told a multitude before it had a part begins as one that knew at its start.
+    let mut w = World::new(Settings { balancers: 4, ..settings() });
+    w.balancer.shared_by(10_000);
+    let list: Vec<_> = (0..16).map(|i| member(i, i % 2)).collect();
+    w.list(ListKind::Restored, &list);
+    w.balancer.shared_by(4);
+    // N is reckoned anew at the next sweep.
+    w.pass(Span(20 * MS));
+    let told = lanes(&mut w, 0..400);
+    assert!(told <= quarter + 16 && told * 2 > quarter, "{told} of {quarter}");
+    // A number of none is taken for one.
+    w.balancer.shared_by(0);
+    assert!(lanes(&mut w, 400..800) >= told);
+}
--- a/crates/sableloom/src/check.rs
+++ b/crates/sableloom/src/check.rs
@@ -53,6 +53,15 @@
     if !problems.is_empty() {
         return Err(shown(&options.file, &problems));
     }
+    if let Some(fleet) = &site.fleet {
+        let address = fleet.address().map(|a| a.to_string()).unwrap_or_default();
+        println!(
+            "fleet {}: {} of {} members, at {address}",
+            fleet.name,
+            fleet.own,
+            fleet.members.len()
+        );
+    }
     println!(
         "{}: good; {} listeners, {} classes, {} pools with {servers} servers, {} routes, {} shadows; \
          hash {}",
--- a/crates/sableloom/src/rehearse.rs
+++ b/crates/sableloom/src/rehearse.rs
@@ -7,7 +7,7 @@
 use std::process::ExitCode;
 
 use sableloom_checked::Problem;
-use sableloom_rehearsal::{Script, timeline};
+use sableloom_rehearsal::{Lists, Script, timeline};
 use sableloom_rig::{Options as Play, Report, Under, beside, compared, page, play, table};
 use sableloom_serverfiles::bytes_of;
 
@@ -31,6 +31,9 @@
     /// The folder of an earlier run to compare this one with
     #[arg(long, value_name = "DIR")]
     beside: Option<PathBuf>,
+    /// Let the balancers know each other, also where the script says nothing of it
+    #[arg(long)]
+    members: bool,
     /// Threads of clients
     #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=64))]
     threads: u16,
@@ -110,7 +113,11 @@
 }
 
 async fn rehearse(options: Options) -> Result<u8, String> {
-    let script = load(&options.script)?;
+    let mut script = load(&options.script)?;
+    if options.members && script.fleet.lists == Lists::Discovery {
+        return Err("--members: balancers can't talk in the platform's mode".to_string());
+    }
+    script.fleet.members |= options.members;
     if options.timeline {
         print!("{}", timeline(&script, options.seed));
         return Ok(0);
--- a/crates/sableloom/tests/site.rs
+++ b/crates/sableloom/tests/site.rs
@@ -43,6 +43,11 @@
     let said = text(&output.stdout);
     assert!(output.status.success(), "{said}{}", text(&output.stderr));
     assert!(said.contains("3 pools with 5 servers, 0 routes, 1 shadows"), "{said}");
+    let fleet = example().with_file_name("fleet.example.toml");
+    let output = run(&["check", fleet.to_str().expect("a path")]);
+    let said = text(&output.stdout);
+    assert!(output.status.success(), "{said}{}", text(&output.stderr));
+    assert!(said.contains("fleet points: till-2 of 3 members, at 127.0.0.1:7002"), "{said}");
 }
 
 #[test]
--- a/crates/site/src/fleet.rs
+++ b/crates/site/src/fleet.rs
@@ -122,7 +122,7 @@
         let help = instead(&own.value, listed.iter().map(|m| m.name.as_str()));
         table.wrong(own, format!("no member {:?}", own.value), Some(help));
     }
-    let operator = table.has("operator").then(|| table.need_address("operator")).flatten();
+    let operator = table.address("operator");
     if let Some(operator) = &operator {
         if listed.iter().any(|m| m.address == operator.value) {
             table.wrong(operator, format!("{} is a member's", operator.value), None);
--- /dev/null
+++ b/crates/site/tests/fleet.rs
@@ -0,0 +1,153 @@
+//! What a site says of the fleet that its balancer belongs to, and all that can be wrong with it.
+
+use sableloom_checked::Problem;
+use sableloom_site::{Site, read, read_members, unchangeable};
+
+const GOOD: &str = r#"
+[[listener]]
+address = "127.0.0.1:8080"
+[[class]]
+name = "balance"
+aim_ms = 100
+deadline_ms = 500
+effect = "safe"
+methods = "GET"
+[[pool]]
+name = "points"
+files = "points.toml"
+[otherwise]
+pool = "points"
+[locality]
+balancers = 9
+[fleet]
+name = "points"
+own = "b2"
+operator = "127.0.0.1:7100"
+[[fleet.member]]
+name = "b1"
+address = "127.0.0.1:7001"
+[[fleet.member]]
+name = "b2"
+address = "127.0.0.1:7002"
+"#;
+
+fn good(text: &str) -> Site {
+    read("s.toml", text.as_bytes()).unwrap_or_else(|wrong| panic!("{wrong:#?}"))
+}
+
+fn told(wrong: Vec<Problem>) -> String {
+    wrong.iter().map(|p| format!("{p} {}\n", p.help.clone().unwrap_or_default())).collect()
+}
+
+#[test]
+fn its_members_are_counted_and_not_the_number_that_is_written() {
+    let site = good(GOOD);
+    let fleet = site.fleet.as_ref().expect("it is there");
+    assert_eq!(fleet.address().map(|a| a.port()), Some(7002));
+    assert_eq!((fleet.period_ms, fleet.answer_ms, fleet.claim_ms), (200.0, 80.0, 2000.0));
+    assert_eq!(site.facts(&site.pools[0]).balancers, 2);
+    let without = good(GOOD.split_once("[fleet]").expect("it is there").0);
+    assert_eq!((without.fleet.clone(), without.facts(&without.pools[0]).balancers), (None, 9));
+    let slow = good(&GOOD.replace("own =", "period_ms = 1000\nown ="));
+    let fleet = slow.fleet.expect("it is there");
+    assert_eq!((fleet.answer_ms, fleet.claim_ms), (400.0, 10_000.0));
+}
+
+#[test]
+fn every_fault_names_its_line_and_field() {
+    for (from, to, says) in [
+        ("name = \"points\"\nown", "own", "s.toml:17:1: field `fleet.name`: missing"),
+        ("own = \"b2\"", "", "field `fleet.own`: missing"),
+        ("own = \"b2\"", "own = \"b22\"", "s.toml:19:7: field `fleet.own`: no member \"b22\""),
+        ("own = \"b2\"", "own = \"b22\"", "did you mean `b2`?"),
+        ("7001", "7002", "is \"b1\"'s"),
+        ("\"b1\"", "\"b2\"", "field `fleet.member[1].name`: \"b2\" is named twice"),
+        // Two words of the same FNV-1a, 32 bits.
+        ("\"b1\"", "\"costarring\"", ""),
+        ("7001", "0", "0 is none"),
+        ("127.0.0.1:7001", "b1.example:7001", "names are not looked up"),
+        ("7100", "7001", "field `fleet.operator`: 127.0.0.1:7001 is a member's"),
+        ("7100", "0", "0 is none"),
+        ("operator", "operater", "did you mean `operator`?"),
+        ("own =", "period_ms = 5\nown =", "20 to 60000 ms"),
+        ("own =", "answer_ms = 150\nown =", "over half of the period of 200 ms"),
+        ("own =", "claim_ms = 900\nown =", "under five periods of 200 ms"),
+        ("own =", "members_file = \"m\"\nown =", "here or in a file, not both"),
+        ("own =", "member_file = \"m\"\nown =", "did you mean `members_file`?"),
+    ] {
+        let text = GOOD.replacen(from, to, 1);
+        assert_ne!(text, GOOD, "{from}");
+        match read("s.toml", text.as_bytes()) {
+            Ok(_) => assert_eq!(says, "", "{to}"),
+            Err(wrong) => {
+                let told = told(wrong);
+                assert!(!says.is_empty() && told.contains(says), "{says:?} is not told:\n{told}");
+            }
+        }
+    }
+    let clash = GOOD.replace("\"b1\"", "\"costarring\"").replace("\"b2\"", "\"liquid\"");
+    let told = told(read("s.toml", clash.as_bytes()).expect_err("they share a hash"));
+    assert!(told.contains("\"liquid\" and \"costarring\" have the same hash"), "{told}");
+    assert!(told.contains("rename one"), "{told}");
+}
+
+#[test]
+fn a_file_of_members_is_checked_as_the_site_is() {
+    let start = GOOD.split_once("[[fleet.member]]").expect("it is there").0;
+    let site = good(&format!("{start}members_file = \"m.toml\"\n"));
+    let fleet = site.fleet.expect("it is there");
+    assert_eq!((fleet.members.len(), fleet.file.as_deref()), (0, Some("m.toml")));
+    let one = |name: &str, port: u16| {
+        format!("[[member]]\nname = \"{name}\"\naddress = \"127.0.0.1:{port}\"\n")
+    };
+    let members = |text: &str| read_members("m.toml", text.as_bytes());
+    let two = members(&(one("b1", 1) + &one("b2", 2))).expect("good");
+    let whole = fleet.clone().with_members("m.toml", two).expect("it is named");
+    assert_eq!(whole.address().map(|a| a.port()), Some(2));
+    let others = members(&(one("b1", 1) + &one("b3", 2))).expect("good");
+    let wrong = told(fleet.with_members("m.toml", others).expect_err("it is not named"));
+    assert!(wrong.contains("m.toml") && wrong.contains("no member \"b2\""), "{wrong}");
+    for (text, says) in [
+        (String::new(), "m.toml:1:1: field `member`: missing"),
+        (one("b1", 1) + &one("b1", 2), "m.toml:5:8: field `member[1].name`: \"b1\" is named twice"),
+        (one("b1", 1) + "[other]\n", "field `other`: unknown field"),
+        ("[[member]\n".to_string(), "m.toml:1"),
+        ("member = []".to_string(), ""),
+    ] {
+        match members(&text) {
+            Ok(members) => assert!(says.is_empty() && members.is_empty(), "{text}"),
+            Err(wrong) => {
+                let told = told(wrong);
+                assert!(told.contains(says), "{says:?} is not told:\n{told}");
+            }
+        }
+    }
+    let many: String = (0..1001).map(|i| one(&format!("m{i}"), 1000 + i)).collect();
+    let wrong = told(members(&many).expect_err("too many"));
+    assert!(wrong.contains("1001 members; 1000 at most"), "{wrong}");
+}
+
+#[test]
+fn members_may_change_while_it_runs_and_who_it_is_may_not() {
+    let old = good(GOOD);
+    let changed = |from: &str, to: &str| {
+        let new = good(&GOOD.replacen(from, to, 1));
+        let told = unchangeable("s.toml", &old, &new);
+        told.iter().map(|p| format!("{}:{} {}", p.file, p.line, p.field)).collect::<Vec<_>>()
+    };
+    let more = "[[fleet.member]]\nname = \"b3\"\naddress = \"127.0.0.1:7003\"\n[[fleet.member]]";
+    assert_eq!(changed("[[fleet.member]]", more), Vec::<String>::new());
+    assert_eq!(changed("7001", "7011"), Vec::<String>::new(), "another's address");
+    for (from, to) in [
+        ("7002", "7012"),
+        ("own = \"b2\"", "own = \"b1\""),
+        ("name = \"points\"\nown", "name = \"other\"\nown"),
+        ("own =", "period_ms = 300\nown ="),
+        ("7100", "7101"),
+    ] {
+        assert_eq!(changed(from, to), ["s.toml:17 fleet"], "{to}");
+    }
+    let without = good(GOOD.split_once("[fleet]").expect("it is there").0);
+    let told = unchangeable("s.toml", &old, &without);
+    assert_eq!(told.iter().map(|p| p.field.as_str()).collect::<Vec<_>>(), ["fleet"]);
+}
--- a/crates/standing/src/lib.rs
+++ b/crates/standing/src/lib.rs
@@ -56,7 +56,8 @@
     /// How long one that starts waits for those that do not speak to it: past the end of every proof against
     /// it, by the slowest clock that holds one and the fastest that waits.
     pub fn wait(&self) -> Span {
-        Span::of(self.claim.f() * (1.0 + self.drift) / (1.0 - self.drift))
+        // Rounded up: a wait that is too short by the least bit is too short.
+        Span((self.claim.f() * (1.0 + self.drift) / (1.0 - self.drift)).ceil() as i64)
     }
 }
 
