Whoever is found gone lets others be asked after; under 200 bytes a member; list digests

Of 24 members 18 were killed at once: the six that were left took 5 s until they had all parts, as each death was found by a probe and probes had slowed down by doubt of oneself. Now a first proof lets 16 others be asked after that were not heard since, and so on.

Each balancer tells a digest of its lists of servers, which compare shows; nothing is done by it.

--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -4,11 +4,14 @@
 use std::net::SocketAddr;
 
 use sableloom_members::{
-    Change, Fleet, Health, Key, Listed, Out as Said, Standing as Place, key_of,
+    Change, Fleet, Health, Key, Listed, Out as Said, Peer, Standing as Place, key_of,
 };
 use sableloom_standing::{Part, Standing};
 use sableloom_types::Time;
 
+/// Whoever is found to be gone lets so many others be asked after, of those not heard since.
+const ALSO: usize = 16;
+
 /// What a member is told at its start.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -70,15 +73,20 @@
             (peer.heard == Some(now)).then_some((peer.key, peer.listed))
         };
         if let Some((key, listed)) = whose.as_ref().and_then(counted) {
-            self.standing.spoke(now, key, u32::from(listed));
+            self.standing.spoke(now, key, listed);
             self.part = self.standing.part(now);
         }
     }
 
     /// A member's system has said that no process holds its address; it was asked at this time.
     pub fn refused(&mut self, now: Time, of: Key, asked: Time, out: &mut Out) {
-        self.standing.refused(of, asked);
+        let news = self.standing.refused(of, asked);
         self.talk(now, out, |members, said| members.refused(now, of, asked, said));
+        if news {
+            // Who is gone is seldom gone alone. Without this half of a fleet that died in one moment was
+            // found out one by one, at the pace of probes that doubt of oneself had made slow.
+            self.ask(now, ALSO, |peer| peer.heard.is_none_or(|heard| heard < asked), out);
+        }
     }
 
     /// It is time.
@@ -97,6 +105,11 @@
         self.part = self.standing.part(now);
     }
 
+    /// The digest of the lists of servers that are in force here from now on.
+    pub fn serves(&mut self, servers: u32) {
+        self.members.serves(servers);
+    }
+
     /// It leaves on purpose, with nothing left to do.
     pub fn leave(&mut self, out: &mut Out) {
         let now = self.now;
@@ -117,13 +130,17 @@
         let calls = self.standing.call(now);
         calls.into_iter().for_each(|key| self.members.call(key, &mut called));
         out.datagrams.append(&mut called.datagrams);
+        self.ask(now, usize::MAX, |peer| peer.health != Health::Alive, out);
+        self.part = self.standing.part(now);
+    }
+
+    /// Asks the systems of so many of these whether any process holds their addresses.
+    fn ask(&mut self, now: Time, most: usize, which: impl Fn(&Peer) -> bool, out: &mut Out) {
         let members = &self.members;
         let peer = |key: Key| members.peers().iter().find(|peer| peer.key == key);
-        let missing = |key| peer(key).is_some_and(|peer| peer.health != Health::Alive);
-        let asked = self.standing.ask(now, missing);
+        let asked = self.standing.ask(now, most, |key| peer(key).is_some_and(&which));
         let at = asked.into_iter().filter_map(|key| Some((key, peer(key)?.address)));
         out.knocks.extend(at);
-        self.part = self.standing.part(now);
     }
 
     /// When it has to be called next.
--- a/crates/fleet/src/shell.rs
+++ b/crates/fleet/src/shell.rs
@@ -115,6 +115,11 @@
         self.call(|core, now, out| core.list(now, others, out));
     }
 
+    /// The digest of the lists of servers that are in force here from now on: others are told.
+    pub fn serves(&self, servers: u32) {
+        self.core.borrow_mut().serves(servers);
+    }
+
     /// It leaves on purpose, with nothing left to do, and says nothing from then on. It goes on holding its
     /// address.
     pub fn leave(self: &Rc<Self>) {
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -20,6 +20,8 @@
     pub number: u64,
     /// The same at two members that agree on who is there, and in which lives.
     pub digest: String,
+    /// A digest of its lists of servers in force; the same at two that have the same.
+    pub servers: String,
     /// `whole`, `part`, `alone` or `just-woken`.
     pub standing: String,
     /// How many it hears, itself included.
@@ -70,6 +72,8 @@
     pub heard_ms: Option<i64>,
     /// How many its list names.
     pub listed: u16,
+    /// A digest of the lists of servers that it has in force.
+    pub servers: String,
 }
 
 /// Datagrams that were dropped, by reason.
@@ -91,6 +95,10 @@
     pub echo: u64,
 }
 
+fn hex(digest: u32) -> String {
+    format!("{digest:08x}")
+}
+
 impl Status {
     /// A member's status now.
     pub fn of(core: &Core, fleet: &str, own: &str, now: Time) -> Self {
@@ -108,7 +116,7 @@
                 Health::Left => ("left", 0),
             };
             MemberStatus {
-                name: peer.name.clone(),
+                name: peer.name.to_string(),
                 address: peer.address.to_string(),
                 state: state.to_string(),
                 since_ms: ago(peer.since),
@@ -117,6 +125,7 @@
                 life: peer.life,
                 heard_ms: peer.heard.map(ago),
                 listed: peer.listed,
+                servers: hex(peer.servers),
             }
         };
         let dropped = |why| members.dropped(why);
@@ -125,7 +134,8 @@
             own: own.to_string(),
             life: members.life(),
             number: members.number(),
-            digest: format!("{:08x}", members.digest()),
+            digest: hex(members.digest()),
+            servers: hex(members.servers()),
             standing: match members.standing() {
                 Place::Whole => "whole",
                 Place::Part { .. } => "part",
--- a/crates/fleet/tests/interleavings.rs
+++ b/crates/fleet/tests/interleavings.rs
@@ -95,7 +95,7 @@
                 }
             }
             Datagram::Word { from, to, meant } => {
-                let n = N as u32;
+                let n = N as u16;
                 self.with(to, Some(meant), |standing, now| standing.spoke(now, from as u32, n));
                 self.with(to, None, |standing, now| standing.sign(now, from as u32));
             }
@@ -106,7 +106,9 @@
             }
             Datagram::Refused { to, life, of, asked } => {
                 let asked = Time(asked);
-                self.with(to, Some(life), |standing, _| standing.refused(of as u32, asked));
+                self.with(to, Some(life), |standing, _| {
+                    standing.refused(of as u32, asked);
+                });
             }
         }
     }
@@ -179,7 +181,7 @@
     (0..N).for_each(|i| state.starts(i));
     state.now = 10;
     for (i, k) in (0..N * N).map(|ik| (ik / N, ik % N)).filter(|(i, k)| i != k) {
-        state.with(i, None, |standing, now| standing.spoke(now, k as u32, N as u32));
+        state.with(i, None, |standing, now| standing.spoke(now, k as u32, N as u16));
     }
     assert!((state.sum(Without::Nothing) - 1.0).abs() < 1e-9);
     state
@@ -191,7 +193,9 @@
     state.members[2] = None;
     state.now += 1;
     let asked = state.now();
-    (0..2).for_each(|i| state.with(i, None, |standing, _| standing.refused(2, asked)));
+    for i in 0..2 {
+        state.with(i, None, |standing, _| assert!(standing.refused(2, asked)));
+    }
     assert!((state.sum(Without::Nothing) - 1.0).abs() < 1e-9, "two share");
     state
 }
--- a/crates/fleet/tests/parts.rs
+++ b/crates/fleet/tests/parts.rs
@@ -273,3 +273,10 @@
         assert!(took.is_some(), "seed {seed}: {:?}", numbers(&net));
     });
 }
+
+/// The bound that docs/design/members.md states: what is kept of a member, its name apart.
+#[test]
+fn what_is_kept_of_a_member_is_bounded() {
+    let bytes = size_of::<sableloom_members::Peer>() + sableloom_standing::BYTES_EACH;
+    assert!(bytes < 200, "{bytes}");
+}
--- a/crates/members/src/book.rs
+++ b/crates/members/src/book.rs
@@ -54,7 +54,7 @@
 #[derive(Clone, Debug)]
 pub struct Peer {
     /// Its name.
-    pub name: String,
+    pub name: Box<str>,
     /// Its name's key.
     pub key: Key,
     /// Where it is.
@@ -75,6 +75,9 @@
     pub nonce: u32,
     /// How many its list names, as it told last; 0 before.
     pub listed: u16,
+    /// A digest of the lists of servers that it has in force, as it told last; 0 before. Nothing is done by it:
+    /// a balancer sends to no server but those of its own list.
+    pub servers: u32,
 }
 
 /// What one's own place in the fleet is.
--- a/crates/members/src/fleet.rs
+++ b/crates/members/src/fleet.rs
@@ -143,6 +143,8 @@
     seq: u32,
     number: u64,
     digest: u32,
+    /// Of its lists of servers.
+    servers: u32,
     standing: Standing,
     dropped: FxHashMap<u8, u64>,
 }
@@ -186,6 +188,7 @@
             seq: 0,
             number: 0,
             digest: 0,
+            servers: 0,
             standing: Standing::Whole,
             dropped: FxHashMap::default(),
         };
@@ -207,7 +210,7 @@
             }
             let old = before.remove(&key);
             let mut peer = old.unwrap_or_else(|| Peer {
-                name: listed.name.clone(),
+                name: listed.name.as_str().into(),
                 key,
                 address: listed.address,
                 life: 0,
@@ -218,6 +221,7 @@
                 heard: None,
                 nonce: 0,
                 listed: 0,
+                servers: 0,
             });
             if peer.address != listed.address {
                 // Whoever is there has yet to tell what it drew.
@@ -273,6 +277,16 @@
         self.life
     }
 
+    /// The digest of the lists of servers that are in force here from now on.
+    pub fn serves(&mut self, servers: u32) {
+        self.servers = servers;
+    }
+
+    /// The digest of its lists of servers, as it was told.
+    pub fn servers(&self) -> u32 {
+        self.servers
+    }
+
     /// The view's number: one more with each change.
     pub fn number(&self) -> u64 {
         self.number
@@ -487,6 +501,7 @@
             echo,
             digest: self.digest,
             listed: u16::try_from(self.peers.len() + 1).unwrap_or(u16::MAX),
+            servers: self.servers,
             body,
             news,
         };
@@ -543,12 +558,12 @@
             }
             return;
         }
-        let Message { life, incarnation, nonce, listed, body, news, .. } = message;
+        let Message { life, incarnation, nonce, listed, servers, body, news, .. } = message;
         if life >= self.peers[i].life {
             self.learn(now, News { of: key, life, incarnation, said: Said::Alive, by: key }, out);
             self.peers[i].nonce = nonce;
             self.peers[i].heard = Some(now);
-            self.peers[i].listed = listed;
+            (self.peers[i].listed, self.peers[i].servers) = (listed, servers);
             self.place(out);
         } else {
             // Another process of that name has a later life: it is told so, and makes a later one.
--- a/crates/members/src/wire.rs
+++ b/crates/members/src/wire.rs
@@ -102,6 +102,8 @@
     pub digest: u32,
     /// How many its list names, itself included.
     pub listed: u16,
+    /// Of the lists of servers that it has in force; 0 if it has not said.
+    pub servers: u32,
     /// What for.
     pub body: Body,
     /// What else there is to say.
@@ -187,6 +189,7 @@
             echo: u32::MAX,
             digest: u32::MAX,
             listed: u16::MAX,
+            servers: u32::MAX,
             body: Body::Answered { seq: u32::MAX, of: u32::MAX },
             news: vec![one; news],
         }
--- a/crates/members/tests/talk.rs
+++ b/crates/members/tests/talk.rs
@@ -180,7 +180,7 @@
     let (_, ack, now) = met(&mut a, &mut b);
     let mut out = Out::default();
     a.list(now, &listed(&[("b", 4), ("d", 5)]), &mut out);
-    let names: Vec<String> = a.view().peers.iter().map(|p| p.name.clone()).collect();
+    let names: Vec<String> = a.view().peers.iter().map(|p| p.name.to_string()).collect();
     assert_eq!(names, ["b", "d"]);
     a.datagram(now, address(2), &encode(&ack).0, &mut out);
     assert_eq!(a.dropped(Refused::Address), 1, "where it was before is nobody's address");
--- a/crates/rig/src/datagrams.rs
+++ b/crates/rig/src/datagrams.rs
@@ -17,6 +17,9 @@
 /// The most that a datagram between balancers holds.
 pub const MOST: usize = 256;
 
+/// How long a socket that was let go of may still be held.
+const CLOSED_WITHIN: Duration = Duration::from_secs(5);
+
 /// One way from one process to another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Pair {
@@ -90,16 +93,28 @@
         *way.task.borrow_mut() = Some(task.abort_handle());
     }
 
-    /// A process runs from now on, or no longer does.
-    pub fn runs(&self, process: usize, runs: bool) -> io::Result<()> {
+    /// A process no longer runs.
+    pub fn ended(&self, process: usize) {
+        let to_it = self.ways.iter().filter(|(pair, _)| pair.to == process);
+        to_it.for_each(|(_, way)| way.close());
+    }
+
+    /// A process is to run: it may be started once this is done.
+    pub async fn starts(&self, process: usize) -> io::Result<()> {
         for (pair, way) in self.ways.iter().filter(|(pair, _)| pair.to == process) {
-            if !runs {
-                way.close();
-            } else if way.socket.borrow().is_none() {
-                let socket = std::net::UdpSocket::bind(way.address)?;
-                socket.set_nonblocking(true)?;
-                *way.socket.borrow_mut() = Some(Rc::new(UdpSocket::from_std(socket)?));
-                self.carry(*pair);
+            let until = Instant::now() + CLOSED_WITHIN;
+            while way.socket.borrow().is_none() {
+                match UdpSocket::bind(way.address).await {
+                    Ok(socket) => {
+                        *way.socket.borrow_mut() = Some(Rc::new(socket));
+                        self.carry(*pair);
+                    }
+                    // A task that was ended lets go of its socket when its turn comes.
+                    Err(e) if e.kind() != io::ErrorKind::AddrInUse || Instant::now() > until => {
+                        return Err(e);
+                    }
+                    Err(_) => tokio::time::sleep(Duration::from_millis(1)).await,
+                }
             }
         }
         Ok(())
@@ -259,10 +274,11 @@
             };
             net.set(THERE, Quality { way: Way::Silent, ..Quality::default() });
             assert!(knock().await.is_err(), "nothing is said of one that is cut off");
-            net.runs(1, false).expect("closed");
+            net.ended(1);
+            tokio::task::yield_now().await;
             let refused = knock().await.expect("an answer").expect_err("nobody is there");
             assert_eq!(refused.kind(), io::ErrorKind::ConnectionRefused);
-            net.runs(1, true).expect("open again");
+            net.starts(1).await.expect("open again");
             assert!(knock().await.is_err(), "it is back, and cut off as before");
         })
         .await;
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -531,14 +531,14 @@
     }
 
     /// Starts a balancer's process, with the files as they have to be.
-    fn start_one(&mut self, b: usize) -> Result<(), String> {
+    async fn start_one(&mut self, b: usize) -> Result<(), String> {
         let named = |e| format!("b{}: its files: {e}", b + 1);
         let folder = self.balancers[b].folder.clone();
         folder.sync().map_err(named)?;
         self.write_site(b).map_err(named)?;
         self.write_list(b).map_err(named)?;
         if let Some(talk) = &self.talk {
-            talk.net.runs(b, true).map_err(|e| format!("b{}: the net: {e}", b + 1))?;
+            talk.net.starts(b).await.map_err(|e| format!("b{}: the net: {e}", b + 1))?;
         }
         let child = self.spawn(b)?;
         let balancer = &mut self.balancers[b];
@@ -563,7 +563,7 @@
 
     async fn start_all(&mut self, tells: &mut UnboundedReceiver<Told>) -> Result<(), String> {
         for b in 0..self.balancers.len() {
-            self.start_one(b)?;
+            self.start_one(b).await?;
         }
         let until = tokio::time::Instant::now() + STARTS_WITHIN;
         while let Some(b) = self.balancers.iter().position(|b| b.life != Life::Up) {
@@ -574,7 +574,7 @@
             };
             let whose = self.whose(number);
             let ended = matches!(said, Said::Ended);
-            self.hear(number, said);
+            self.hear(number, said).await;
             if let (true, Some(b)) = (ended, whose) {
                 let how = self.facts.crashes.pop().map(|c| c.2).unwrap_or_default();
                 return Err(format!("b{} can't start: {how}", b + 1));
@@ -598,11 +598,11 @@
     }
 
     /// A process has said something.
-    fn hear(&mut self, number: u64, said: Said) {
+    async fn hear(&mut self, number: u64, said: Said) {
         if let Some(b) = self.whose(number) {
             return match said {
                 Said::Line(line) => self.line(b, line),
-                Said::Ended => self.ended(b),
+                Said::Ended => self.ended(b).await,
             };
         }
         if let Said::Ended = said
@@ -646,14 +646,13 @@
         balancer.log.push_back(line);
     }
 
-    fn ended(&mut self, b: usize) {
+    async fn ended(&mut self, b: usize) {
         let now = Instant::now();
         let balancer = &mut self.balancers[b];
         let status = balancer.child.take().and_then(|mut child| child.reap());
         // From here on nobody is there, and the system says so.
-        let gone = self.talk.as_ref().map(|talk| talk.net.runs(b, false));
-        if let Some(Err(e)) = gone {
-            self.notes.push(format!("b{}: the net: {e}", b + 1));
+        if let Some(talk) = &self.talk {
+            talk.net.ended(b);
         }
         self.forget_views();
         let balancer = &mut self.balancers[b];
@@ -676,7 +675,7 @@
             self.notes.push(format!("b{}: its state: {e}", b + 1));
         }
         if std::mem::take(&mut self.balancers[b].start_again) && !self.ending {
-            self.start_again(b);
+            self.start_again(b).await;
         }
     }
 
@@ -689,8 +688,8 @@
         }
     }
 
-    fn start_again(&mut self, b: usize) {
-        if let Err(e) = self.start_one(b) {
+    async fn start_again(&mut self, b: usize) {
+        if let Err(e) = self.start_one(b).await {
             let at = self.now();
             self.facts.crashes.push((b, at, format!("it can't start: {e}")));
         }
@@ -814,7 +813,7 @@
 
     // ------------------------------------------------------------ deeds
 
-    fn act(&mut self, act: &Act) {
+    async fn act(&mut self, act: &Act) {
         match act {
             Act::Kill(b) => self.kill(*b, None),
             Act::PowerLoss(all, keep) => all.iter().for_each(|b| self.kill(*b, Some(*keep))),
@@ -831,7 +830,7 @@
                     balancer.binary.clone_from(binary);
                 }
                 match balancer.life {
-                    Life::Down => self.start_again(*b),
+                    Life::Down => self.start_again(*b).await,
                     Life::Killed | Life::Ending => balancer.start_again = true,
                     Life::Up | Life::Starting => {
                         self.notes.push(format!("b{} runs already", b + 1));
@@ -930,21 +929,23 @@
         self.nodes.iter().any(|node| node.holds_effect(b))
     }
 
-    fn conditions(&mut self) {
+    async fn conditions(&mut self) {
         let now = Instant::now();
         let pending = std::mem::take(&mut self.pending);
         let (done, left): (Vec<_>, Vec<_>) =
             pending.into_iter().partition(|(step, ..)| self.holds(step));
         self.pending = left;
         for (step, _, end) in done {
-            self.act(&step.act);
+            self.act(&step.act).await;
             if let Some(end) = end {
                 let time = Duration::from_micros((end.at - step.at).max(0) as u64);
                 self.later.push((now + time, end));
             }
         }
         let due: Vec<_> = self.later.extract_if(.., |(due, _)| *due <= now).collect();
-        due.iter().for_each(|(_, step)| self.act(&step.act));
+        for (_, step) in &due {
+            self.act(&step.act).await;
+        }
         // Once for each: a reader of the notes sees why so little has happened.
         for (step, since, _) in &mut self.pending {
             if now.duration_since(*since) > CONDITION_WITHIN {
@@ -1048,7 +1049,7 @@
                 () = next => {
                     if let Some(step) = steps.pop_front() {
                         match step.when {
-                            None => self.act(&step.act),
+                            None => self.act(&step.act).await,
                             Some(_) => {
                                 let ends = |s: &Step| s.ends && s.pair == step.pair;
                                 let at = steps.iter().position(ends);
@@ -1060,12 +1061,12 @@
                 }
                 told = tells.recv() => {
                     if let Some((number, said)) = told {
-                        self.hear(number, said);
+                        self.hear(number, said).await;
                     }
                 }
                 _ = ticks.tick() => {
                     self.lists_due();
-                    self.conditions();
+                    self.conditions().await;
                     self.look_at_nodes();
                     let now = Instant::now();
                     if now >= next_sample {
@@ -1120,7 +1121,7 @@
         while self.balancers.iter().any(|b| b.child.is_some()) {
             let left = until.saturating_duration_since(Instant::now());
             match timeout(left, tells.recv()).await {
-                Ok(Some((number, said))) => self.hear(number, said),
+                Ok(Some((number, said))) => self.hear(number, said).await,
                 _ => break,
             }
         }
--- a/crates/sableloom/src/fleet.rs
+++ b/crates/sableloom/src/fleet.rs
@@ -164,7 +164,7 @@
     };
     format!(
         "{} of fleet {}, life {}: {}, hears {} of {}, doubt {}; part {share} ({}; {} listed, {} proved \
-         absent); view {}, digest {}",
+         absent); view {}, digest {}, servers {}",
         status.own,
         status.fleet,
         status.life,
@@ -176,7 +176,8 @@
         part.listed,
         part.absent,
         status.number,
-        status.digest
+        status.digest,
+        status.servers
     )
 }
 
@@ -184,7 +185,7 @@
     let mut table = Table::new();
     table.load_preset(presets::NOTHING);
     table.set_header([
-        "member", "address", "state", "for", "by", "accusers", "life", "heard", "lists",
+        "member", "address", "state", "for", "by", "accusers", "life", "heard", "lists", "servers",
     ]);
     let seconds = |ms: i64| format!("{:.1} s", ms as f64 / 1e3);
     for m in &status.members {
@@ -198,6 +199,7 @@
             m.life.to_string(),
             m.heard_ms.map_or("never".to_string(), |ms| format!("{} ago", seconds(ms))),
             m.listed.to_string(),
+            m.servers.clone(),
         ]);
     }
     let d = &status.dropped;
@@ -223,6 +225,7 @@
     let mut seen: BTreeMap<&str, BTreeMap<String, Vec<&str>>> = BTreeMap::new();
     let mut digests: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
     let (mut parts, mut listed) = (0.0, BTreeMap::new());
+    let mut servers: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
     for (_, answer) in answers {
         match answer {
             Err(e) => {
@@ -232,6 +235,7 @@
             Ok(status) => {
                 text += &format!("{}\n", head(status));
                 digests.entry(&status.digest).or_default().push(&status.own);
+                servers.entry(&status.servers).or_default().push(&status.own);
                 listed.entry(status.members.len() + 1).or_insert_with(Vec::new).push(&*status.own);
                 if status.part.balancers > 0 {
                     parts += 1.0 / f64::from(status.part.balancers);
@@ -256,6 +260,10 @@
     for (n, by) in listed.iter().filter(|_| listed.len() > 1) {
         text += &format!("{n} listed by {}\n", by.join(" "));
     }
+    for (digest, by) in servers.iter().filter(|_| servers.len() > 1) {
+        text += &format!("lists of servers {digest} at {}\n", by.join(" "));
+    }
+    agree &= servers.len() <= 1;
     agree &= digests.len() <= 1 && listed.len() <= 1;
     let verdict = if agree { "they agree" } else { "they do not agree" };
     text += &format!("{verdict}; their parts add up to {parts:.3}\n");
--- a/crates/sableloom/src/serve.rs
+++ b/crates/sableloom/src/serve.rs
@@ -188,6 +188,17 @@
                "fleet": fleet.map(Fleet::status)})
     }
 
+    /// Of the lists of servers in force: the same at two balancers whose pools have the same files.
+    fn servers(&self) -> u32 {
+        let routing = self.routing.borrow();
+        let lists = routing.pools.iter().map(|pool| {
+            let (_, version, _) = pool.files.version();
+            stable_hash(&format!("{} {version}", pool.name)) as u32
+        });
+        // 0 says that nothing is known.
+        lists.fold(0, |all, one| all ^ one).max(1)
+    }
+
     /// Closes idle connections, and lets go of pools that have ended.
     fn sweep(&self) {
         self.pools().iter().for_each(|pool| pool.transport.sweep());
@@ -467,12 +478,15 @@
     }
     eprintln!("sableloom: configuration 1 ({hash}) in force");
     let door = Door::open(frontend.clone(), listeners, longest);
-    let sweeps = router.clone();
+    let (sweeps, tells) = (router.clone(), fleet.clone());
     spawn_local(async move {
         loop {
             sleep(SWEEP).await;
             frontend.sweep();
             sweeps.sweep();
+            if let Some(fleet) = &tells {
+                fleet.serves(sweeps.servers());
+            }
         }
     });
     let (reloads, reloaded) = (router.clone(), fleet.clone());
--- a/crates/sableloom/tests/fleet/direct.rs
+++ b/crates/sableloom/tests/fleet/direct.rs
@@ -80,6 +80,14 @@
     eventually("all agree", || fleet(&["compare", "--config", &path(&third)]).status.success());
     let all = text(&fleet(&["compare", "--config", &path(&third)]));
     assert!(all.contains("they agree; their parts add up to 1.000"), "{all}");
+    // One has other servers: that is shown, and nothing is made of it.
+    sites[0].replace("points.toml", &servers("", [("t", peer.address, "")]));
+    eventually("it is shown", || {
+        let all = text(&fleet(&["compare", "--config", &path(&third)]));
+        all.contains("at b c") && all.contains("they do not agree; their parts add up to 1.000")
+    });
+    sites[0].replace("points.toml", &servers("", [("s", peer.address, "")]));
+    eventually("all agree", || fleet(&["compare", "--config", &path(&third)]).status.success());
     // It is stopped, and taken off the lists.
     drop(c_runs);
     for (site, balancer) in sites.iter().zip(&running) {
@@ -168,6 +176,7 @@
         echo,
         digest: 0,
         listed: 60_000,
+        servers: 0,
         body: Body::Bye,
         news: Vec::new(),
     };
--- a/crates/standing/src/lib.rs
+++ b/crates/standing/src/lib.rs
@@ -98,24 +98,37 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+/// Before all else: a proof of then holds no more, and what was done then may be done again.
+const NEVER: Time = Time(i64::MIN);
+
+#[derive(Clone, Copy, Debug)]
 struct Other {
     /// It can hold no proof against this process: it has spoken to it, and so believes none that is older;
     /// or it was not there at some time since this process took its address, and whoever has that name
     /// by now began with nothing.
     harmless: bool,
     /// When anything last came from it.
-    sign: Option<Time>,
+    sign: Time,
     /// Since when it is proved not to act.
-    absent: Option<Time>,
+    absent: Time,
     /// When it was last asked.
-    asked: Option<Time>,
+    asked: Time,
     /// When it was last called.
-    called: Option<Time>,
+    called: Time,
     /// How many its list names, as it says.
-    listed: u32,
+    listed: u16,
+}
+
+impl Default for Other {
+    fn default() -> Self {
+        let [sign, absent, asked, called] = [NEVER; 4];
+        Self { harmless: false, sign, absent, asked, called, listed: 0 }
+    }
 }
 
+/// Bytes that are kept of a member.
+pub const BYTES_EACH: usize = size_of::<(Key, Other)>();
+
 /// One balancer's standing among the members of a list.
 #[derive(Clone, Debug)]
 pub struct Standing {
@@ -168,13 +181,12 @@
     /// makes the part smaller.
     pub fn sign(&mut self, now: Time, of: Key) {
         if let Some(other) = self.others.get_mut(&of) {
-            other.sign = Some(now);
-            other.absent = None;
+            (other.sign, other.absent) = (now, NEVER);
         }
     }
 
     /// A member has spoken to this very process, and said how many its list names.
-    pub fn spoke(&mut self, now: Time, of: Key, listed: u32) {
+    pub fn spoke(&mut self, now: Time, of: Key, listed: u16) {
         self.sign(now, of);
         if let Some(other) = self.others.get_mut(&of) {
             other.harmless = true;
@@ -182,22 +194,25 @@
         }
     }
 
-    /// A member's system says that no process holds its address; it was asked at this time.
-    pub fn refused(&mut self, of: Key, asked: Time) {
-        let Some(other) = self.others.get_mut(&of) else { return };
+    /// A member's system says that no process holds its address; it was asked at this time. Whether that is
+    /// news: no proof of it held before.
+    pub fn refused(&mut self, of: Key, asked: Time) -> bool {
+        let Some(other) = self.others.get_mut(&of) else { return false };
+        let before = other.absent;
         other.harmless |= asked >= self.started;
         // What came since is from a process that has started since.
-        if other.sign.is_none_or(|sign| sign < asked) {
-            other.absent = Some(other.absent.map_or(asked, |before| before.max(asked)));
+        if other.sign < asked {
+            other.absent = before.max(asked);
             other.listed = 0;
         }
+        other.absent != NEVER && !self.holds(asked, before)
     }
 
     /// It did not run for a while: nothing that it believed counts.
     pub fn woke(&mut self, woken: bool) {
         self.woken = woken;
         if woken {
-            self.others.values_mut().for_each(|other| other.absent = None);
+            self.others.values_mut().for_each(|other| other.absent = NEVER);
         }
     }
 
@@ -206,27 +221,28 @@
         self.twin = true;
     }
 
-    /// Whom to ask now whether anybody is there, of these, which do not seem to be.
-    pub fn ask(&mut self, now: Time, missing: impl Fn(Key) -> bool) -> Vec<Key> {
+    /// Whom to ask now whether anybody is there, of these, so many at most.
+    pub fn ask(&mut self, now: Time, most: usize, of: impl Fn(Key) -> bool) -> Vec<Key> {
         let since = |at: Time| now.since(at);
         while self.questions.front().is_some_and(|at| since(*at) >= self.times.claim) {
             self.questions.pop_front();
         }
         let again = self.times.again;
         let due = |(key, other): (&Key, &Other)| {
-            let due = missing(*key) && other.asked.is_none_or(|at| since(at) >= again);
+            let due = of(*key) && since(other.asked) >= again;
             due.then_some(*key)
         };
         // In turn, so that where there are too many to ask each has its turn.
         let (behind, ahead): (Vec<Key>, Vec<Key>) =
             self.others.iter().filter_map(due).partition(|key| *key < self.next);
         let room = self.times.questions.saturating_sub(self.questions.len());
+        let room = room.min(most);
         let asked: Vec<Key> = ahead.into_iter().chain(behind).take(room).collect();
         for key in &asked {
             self.questions.push_back(now);
             self.next = key.wrapping_add(1);
             if let Some(other) = self.others.get_mut(key) {
-                other.asked = Some(now);
+                other.asked = now;
             }
         }
         asked
@@ -238,11 +254,11 @@
             return Vec::new();
         }
         let again = self.times.call;
-        let due = |o: &Other| !o.harmless && o.called.is_none_or(|at| now.since(at) >= again);
+        let due = |o: &Other| !o.harmless && now.since(o.called) >= again;
         let others = self.others.iter_mut().filter(|(_, other)| due(other)).take(CALLS);
         others
             .map(|(key, other)| {
-                other.called = Some(now);
+                other.called = now;
                 *key
             })
             .collect()
@@ -250,14 +266,18 @@
 
     /// How many are proved not to act.
     pub fn absent(&self, now: Time) -> usize {
-        let proofs = self.others.values().filter_map(|o| o.absent);
-        proofs.filter(|asked| self.holds(now, *asked)).count()
+        self.proofs(now).count()
+    }
+
+    /// When the proofs that hold were asked for.
+    fn proofs(&self, now: Time) -> impl Iterator<Item = Time> {
+        self.others.values().map(|o| o.absent).filter(move |asked| self.holds(now, *asked))
     }
 
     /// The most that any list names, as far as is known: where lists differ, the greater number holds.
     pub fn listed(&self) -> u32 {
         let own = self.others.len() as u32 + 1;
-        self.others.values().map(|o| o.listed).fold(own, u32::max)
+        self.others.values().map(|o| u32::from(o.listed)).fold(own, u32::max)
     }
 
     /// The part now.
@@ -269,10 +289,12 @@
             let until = Some(self.started.plus(self.times.wait()));
             return Part { balancers: 0, until, after: most * twins, why: Why::Waits(waits) };
         }
-        let proofs = self.others.values().filter_map(|o| o.absent);
-        let held: Vec<Time> = proofs.filter(|asked| self.holds(now, *asked)).collect();
-        let until = held.iter().min().map(|asked| asked.plus(self.times.claim));
-        let balancers = most.saturating_sub(held.len() as u32).max(1) * twins;
+        let (held, first) =
+            self.proofs(now).fold((0, None), |(n, first): (u32, Option<Time>), asked| {
+                (n + 1, Some(first.map_or(asked, |first| first.min(asked))))
+            });
+        let until = first.map(|asked| asked.plus(self.times.claim));
+        let balancers = most.saturating_sub(held).max(1) * twins;
         let why = match (self.twin, self.woken) {
             (true, _) => Why::Twin,
             (_, true) => Why::Woken,
@@ -283,7 +305,7 @@
 
     /// When the part may change by itself, or somebody may be asked again, if nothing happens before.
     pub fn next(&self, now: Time) -> Time {
-        let ends = self.others.values().filter_map(|o| Some(o.absent?.plus(self.times.claim)));
+        let ends = self.proofs(now).map(|asked| asked.plus(self.times.claim));
         let wait = Some(self.started.plus(self.times.wait())).filter(|_| self.waits(now) > 0);
         let first = ends.chain(wait).filter(|at| *at > now).min();
         let again = if wait.is_some() { self.times.call } else { self.times.again };
--- a/crates/standing/tests/rules.rs
+++ b/crates/standing/tests/rules.rs
@@ -11,9 +11,9 @@
 }
 
 /// One of `n`, which all others have spoken to.
-fn known(n: u32) -> Standing {
-    let mut standing = Standing::new(at(0.0), 1..n, Times::default());
-    (1..n).for_each(|key| standing.spoke(at(0.1), key, n));
+fn known(n: u16) -> Standing {
+    let mut standing = Standing::new(at(0.0), 1..u32::from(n), Times::default());
+    (1..n).for_each(|key| standing.spoke(at(0.1), key.into(), n));
     standing
 }
 
@@ -53,12 +53,12 @@
 fn a_proof_makes_the_part_larger_for_as_long_as_it_holds() {
     let mut standing = known(4);
     assert_eq!(number(&standing, 0.2), (4, Why::Shares));
-    standing.refused(2, at(0.3));
+    assert!(standing.refused(2, at(0.3)), "it is news");
     let part = standing.part(at(0.4));
     assert_eq!((part.balancers, part.until, part.after), (3, Some(at(2.3)), 4));
     // Whoever does not look again in time has the part of all.
     assert_eq!((part.share(at(2.29)), part.share(at(2.3))), (1.0 / 3.0, 0.25));
-    standing.refused(2, at(0.9));
+    assert!(!standing.refused(2, at(0.9)), "it was known");
     assert_eq!(number(&standing, 2.8).0, 3, "it was renewed");
     // An answer that comes late is as old as its question.
     standing.refused(3, at(0.5));
@@ -122,22 +122,26 @@
 fn questions_are_few_and_everyone_has_a_turn() {
     let times = Times { questions: 10, ..Times::default() };
     let mut standing = Standing::new(at(0.0), 1..31, times);
-    assert_eq!(standing.ask(at(0.0), |key| key % 2 == 0).len(), 10);
-    assert_eq!(standing.ask(at(1.9), |key| key % 2 == 0), Vec::<u32>::new(), "none is left");
+    assert_eq!(standing.ask(at(0.0), usize::MAX, |key| key % 2 == 0).len(), 10);
+    assert_eq!(
+        standing.ask(at(1.9), usize::MAX, |key| key % 2 == 0),
+        Vec::<u32>::new(),
+        "none is left"
+    );
     let mut asked: Vec<u32> = Vec::new();
     let mut now = 0.0;
     for _ in 0..2 {
         now += 2.0;
-        asked.extend(standing.ask(at(now), |key| key % 2 == 0));
+        asked.extend(standing.ask(at(now), usize::MAX, |key| key % 2 == 0));
     }
     asked.sort_unstable();
     asked.dedup();
     assert_eq!(asked.len(), 15, "{asked:?}");
     // The same one not before its time.
     let mut standing = known(3);
-    assert_eq!(standing.ask(at(1.0), |_| true), [1, 2]);
-    assert_eq!(standing.ask(at(1.49), |_| true), Vec::<u32>::new());
-    assert_eq!(standing.ask(at(1.5), |_| true), [1, 2]);
+    assert_eq!(standing.ask(at(1.0), usize::MAX, |_| true), [1, 2]);
+    assert_eq!(standing.ask(at(1.49), usize::MAX, |_| true), Vec::<u32>::new());
+    assert_eq!(standing.ask(at(1.5), usize::MAX, |_| true), [1, 2]);
 }
 
 /// Parts of lists of any length never overflow, and are never more than all.
@@ -154,9 +158,11 @@
             let key = rng.rand_range(0..45) as u32;
             match rng.rand_range(0..5) {
                 0 => standing.sign(now, key),
-                1 => standing.spoke(now, key, rng.rand_range(0..70_000) as u32),
+                1 => standing.spoke(now, key, rng.rand_range(0..65_536) as u16),
                 2 => standing.woke(rng.rand_range(0..2) == 0),
-                _ => standing.refused(key, Time(now.0 - rng.rand_range(0..1_500_000) as i64)),
+                _ => {
+                    standing.refused(key, Time(now.0 - rng.rand_range(0..1_500_000) as i64));
+                }
             }
             let Part { balancers, until, after, why } = standing.part(now);
             assert!(after >= n && (balancers <= after), "{balancers} {after}");
