Links that break mid-body, a wall clock that is off, news that does not wait for slow probes

Rehearsals lacked a link cut in the middle of a body, a balancer short of memory and a process whose time of day is off; each is provoked now. One that answers a majority is held dead for under 5 s by anyone, in simulation.

Doubt of oneself makes probes rare, and news travelled with probes, so that the objections of those that were doubted came too late.

--- a/crates/exchange/src/clock.rs
+++ b/crates/exchange/src/clock.rs
@@ -16,8 +16,13 @@
     /// A clock that is anchored now.
     #[allow(clippy::new_without_default, reason = "two clocks would differ")]
     pub fn new() -> Self {
+        Self::off_by(0)
+    }
+
+    /// A clock that is anchored to a Unix time so many milliseconds ahead of the system's.
+    pub fn off_by(ms: i64) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { start: Instant::now(), unix_us: unix.as_micros() as i64 }
+        Self { start: Instant::now(), unix_us: unix.as_micros() as i64 + ms * 1000 }
     }
 
     /// The time now.
--- a/crates/members/src/fleet.rs
+++ b/crates/members/src/fleet.rs
@@ -128,6 +128,8 @@
     round: Vec<Key>,
     probe: Option<Probe>,
     next_probe: Time,
+    /// When it passes news on next, if it sends no probe before.
+    next_news: Time,
     relays: Vec<Relay>,
     /// What is passed on, and how often it was.
     news: Vec<(News, u32)>,
@@ -178,6 +180,7 @@
             round: Vec::new(),
             probe: None,
             next_probe: now,
+            next_news: now,
             relays: Vec::new(),
             news: Vec::new(),
             doubt: 0,
@@ -447,6 +450,19 @@
         }
         self.announce();
         self.changed(out);
+        // Those who doubt it count the time, and its own may be slow: it does not wait for its next probe.
+        self.pass_around(self.times.ask, out);
+    }
+
+    /// Tells some of those that are there what it has to pass on.
+    fn pass_around(&mut self, some: usize, out: &mut Out) {
+        let there = self.peers.iter().filter(|p| p.health.is_there());
+        let mut there: Vec<Key> = there.map(|p| p.key).collect();
+        for _ in 0..some.min(there.len()) {
+            let lot = self.rng.rand_range(0..there.len() as u64) as usize;
+            let key = there.swap_remove(lot);
+            self.say(key, Body::Ack { seq: 0 }, out);
+        }
     }
 
     fn announce(&mut self) {
@@ -636,7 +652,8 @@
             _ => None,
         });
         let relays = self.relays.iter().map(|relay| relay.until);
-        let first = probe.into_iter().chain(doubts).chain(relays).min();
+        let news = Some(self.next_news).filter(|_| self.doubt > 0 && !self.news.is_empty());
+        let first = probe.into_iter().chain(doubts).chain(relays).chain(news).min();
         first.map_or(self.next_probe, |at| at.min(self.next_probe))
     }
 
@@ -694,6 +711,15 @@
                 self.judge(now, out);
             }
         }
+        // Doubt of oneself makes probes rare. News must not wait for them, or the objections of those that
+        // are doubted, this one's own among them, come too late: at 30% loss there were seven times as many
+        // false deaths as with no doubt of oneself.
+        if now >= self.next_news {
+            self.next_news = now.plus(self.times.period);
+            if self.doubt > 0 && now < self.next_probe && !self.news.is_empty() {
+                self.pass_around(1, out);
+            }
+        }
         if now >= self.next_probe {
             let patience = i64::from(1 + self.doubt);
             let period = Span(self.times.period.0 * patience);
--- a/crates/members/tests/simulation.rs
+++ b/crates/members/tests/simulation.rs
@@ -295,3 +295,44 @@
         "{packets} packets, {bytes} bytes a second and member"
     );
 }
+
+/// One hears and is heard by some majority, and by the rest one way or not at all: whoever holds it for dead
+/// learns better from the others, soon.
+#[test]
+fn one_that_answers_a_majority_is_not_held_dead_for_long() {
+    on_all_cores(0..200, |seed| {
+        let n = 9;
+        let mut sim = started(n, seed, 0.02);
+        let victim = (seed % n as u64) as usize;
+        let mut others: Vec<usize> = (0..n).filter(|i| *i != victim).collect();
+        while others.len() > 4 {
+            let lot = sim.rng.rand_range(0..others.len() as u64) as usize;
+            let cut = others.swap_remove(lot);
+            match sim.rng.rand_range(0..3) {
+                0 => sim.open[victim][cut] = false,
+                1 => sim.open[cut][victim] = false,
+                _ => (sim.open[victim][cut], sim.open[cut][victim]) = (false, false),
+            }
+        }
+        sim.loss = 0.05;
+        let mut since = vec![None; n];
+        let end = sim.now + 60 * S;
+        while sim.now < end {
+            let until = sim.now + 100 * MS;
+            sim.run(until);
+            for (i, fleet) in sim.fleets() {
+                let dead =
+                    |p: &sableloom_members::Peer| p.key == key(victim) && p.health == Health::Dead;
+                if fleet.peers().iter().any(dead) {
+                    let held = sim.now - *since[i].get_or_insert(sim.now);
+                    assert!(held < HELD_DEAD, "seed {seed}: held dead by {i} for {held} us");
+                } else {
+                    since[i] = None;
+                }
+            }
+        }
+    });
+}
+
+/// The longest time for which one that answers a majority may be held for dead.
+const HELD_DEAD: i64 = 5 * S;
--- a/crates/rehearsal/src/link.rs
+++ b/crates/rehearsal/src/link.rs
@@ -31,6 +31,8 @@
     pub reordered: f64,
     /// Bytes a second; without a limit if `None`.
     pub rate: Option<f64>,
+    /// Share of a connection's pieces that come half, whereupon the connection is reset.
+    pub breaks: f64,
 }
 
 impl Default for Quality {
@@ -43,6 +45,7 @@
             doubled: 0.0,
             reordered: 0.0,
             rate: None,
+            breaks: 0.0,
         }
     }
 }
@@ -98,6 +101,12 @@
         Fate(if doubled < quality.doubled { vec![first, copy] } else { vec![first] })
     }
 
+    /// Whether the connection breaks in the midst of a piece.
+    pub fn breaks(&mut self, quality: &Quality) -> bool {
+        // No draw where none can: scripts without breaks are played as ever.
+        quality.breaks > 0.0 && self.lot() < quality.breaks
+    }
+
     /// When a piece of a connection arrives. The system hides loss, doubling and order; what is left
     /// of them is delay.
     pub fn piece(&mut self, now: i64, bytes: usize, quality: &Quality) -> i64 {
@@ -153,6 +162,15 @@
         assert!(pieces.iter().enumerate().all(|(i, at)| *at >= i as i64 * 1000 + 5000));
     }
 
+    #[test]
+    fn connections_break_as_often_as_is_said() {
+        let mut passage = Passage::new(3);
+        let quality = Quality { breaks: 0.2, ..Quality::default() };
+        let broken = (0..10_000).filter(|_| passage.breaks(&quality)).count();
+        assert!((1900..2100).contains(&broken), "{broken}");
+        assert!(!passage.breaks(&Quality::default()));
+    }
+
     #[test]
     fn a_limited_rate_is_kept() {
         let quality = Quality { rate: Some(10_000.0), ..Quality::default() };
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -284,6 +284,11 @@
         /// How far ahead.
         by: i64,
     },
+    /// The wall clock that its process reads is off by so much, from its next start on.
+    WallClock {
+        /// How far ahead.
+        by: i64,
+    },
     /// The node is gone; back cold after so long, if that is said.
     NodeKill {
         /// When it is started again, at least and at most.
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -146,6 +146,8 @@
     half: bool,
     late: (i64, i64),
     clock: i64,
+    /// How far off the wall clock is that its process reads.
+    wall_clock: i64,
     /// Its part of the servers, as it logged last.
     part: f64,
     /// When it listened, and what it had run and waited then.
@@ -417,6 +419,7 @@
                 half: false,
                 late: script.nodes.list_late,
                 clock: 0,
+                wall_clock: 0,
                 part: 0.0,
                 judged_from: None,
             });
@@ -515,6 +518,10 @@
             None => {
                 let site = balancer.folder.path("site.toml").into();
                 start.arguments = vec!["serve".into(), "--config".into(), site];
+                if balancer.wall_clock != 0 {
+                    let by = (balancer.wall_clock / MS).to_string();
+                    start.arguments.extend(["--wall-clock-ms".into(), by.into()]);
+                }
             }
             Some(_) => {
                 let config = balancer.folder.path("config.json").into();
@@ -877,6 +884,7 @@
                 self.balancers[*b].clock = *by;
                 self.list_now(*b);
             }
+            Act::WallClock(b, by) => self.balancers[*b].wall_clock = *by,
             Act::NodeStop(n) => self.nodes[*n].stop(),
             Act::NodeStart(n) => {
                 self.nodes[*n].restart();
--- a/crates/sableloom/src/fleet.rs
+++ b/crates/sableloom/src/fleet.rs
@@ -19,7 +19,7 @@
 use crate::serve::load;
 
 /// Lives are tenths of seconds since this one of Unix time, the first of 2025: they fit 32 bits for 13 years.
-const LIVES_FROM: u64 = 1_735_689_600;
+const LIVES_FROM: i64 = 1_735_689_600;
 
 /// What to show.
 #[derive(clap::Subcommand)]
@@ -69,10 +69,10 @@
     let Some(address) = fleet.address() else {
         return Err(format!("field `fleet.own`: no member {:?}", fleet.own));
     };
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let tenths = unix.as_millis() as u64 / 100;
-    let life = tenths.saturating_sub(LIVES_FROM * 10).clamp(1, u64::from(u32::MAX - 1));
+    let tenths = clock.now().0 / 100_000 - LIVES_FROM * 10;
+    let life = tenths.clamp(1, i64::from(u32::MAX) - 1);
     // Of the time as well: its nonce must not be that of an earlier process with the same number.
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let seed = unix.as_nanos() as u64 ^ u64::from(std::process::id()).rotate_left(40);
     let claim = span(fleet.claim_ms);
     let questions = Times::default();
--- a/crates/sableloom/src/serve.rs
+++ b/crates/sableloom/src/serve.rs
@@ -42,6 +42,10 @@
     /// The site's configuration, in TOML
     #[arg(long, value_name = "FILE")]
     config: PathBuf,
+    /// How far the wall clock that it reads is ahead: for rehearsals, which can't move a machine's
+    #[arg(long, hide = true, default_value_t = 0, allow_negative_numbers = true,
+          value_parser = clap::value_parser!(i64).range(-86_400_000..=86_400_000))]
+    wall_clock_ms: i64,
 }
 
 /// A site's text, read and checked; or all that is wrong.
@@ -429,7 +433,7 @@
             listen(listener.address).map_err(|e| format!("{place}: {}: {e}", listener.address))?;
         listeners.push(listener);
     }
-    let clock = Clock::new();
+    let clock = Clock::off_by(options.wall_clock_ms);
     let shared = Shared { path: path.clone(), clock, budget: Budget::new(upstreams) };
     let (mut opened, mut problems) = (Vec::new(), Vec::new());
     for pool in &site.pools {
--- a/crates/sableloom/tests/fleet/faults.rs
+++ b/crates/sableloom/tests/fleet/faults.rs
@@ -454,3 +454,76 @@
     // In this mode there is no status to ask for, and nobody is asked.
     assert!(run.report.statuses.iter().all(Option::is_none));
 }
+
+/// Connections break in the midst of requests and of answers, at any byte: what was whole may have run, and
+/// nothing of half an answer is passed on.
+#[test]
+fn links_that_break_in_the_middle_of_a_body_double_nothing() {
+    let run = rehearse(
+        4,
+        4,
+        80,
+        5,
+        r#"
+        [[event]]
+        at_ms = 500
+        do = "link"
+        who = "all"
+        to = "all"
+        breaks = 0.1
+        for_ms = 3500
+        "#,
+    );
+    run.is_sound();
+    let all = run.whole();
+    assert!(all.failed > 5, "no redeem was in doubt: {all:?}");
+    assert!(run.report.account.attempts > 1.02, "nothing was sent again");
+}
+
+/// One may map so little memory that it can't start: it is named, and the rest is ended.
+#[test]
+fn a_balancer_without_memory_is_named() {
+    let more = "[[process]]\nwho = \"b2\"\nmemory_mb = 16\n";
+    let failed = rehearse_with(3, 2, 20, 1, more, |_| {}, "");
+    let error = failed.err().expect("it can't be played");
+    assert!(error.contains("b2 can't start"), "{error}");
+}
+
+/// The time of day that a balancer reads at its start is off, either way: servers seem to have started in the
+/// future, or long ago.
+#[test]
+fn a_wall_clock_that_is_off_by_an_hour_breaks_no_rule() {
+    let run = rehearse(
+        4,
+        4,
+        60,
+        6,
+        r#"
+        cold_from = 0.3
+        [[event]]
+        at_ms = 500
+        do = "wall-clock"
+        who = "b1"
+        by_ms = 3600000
+        [[event]]
+        at_ms = 500
+        do = "wall-clock"
+        who = "b2"
+        by_ms = -3600000
+        [[event]]
+        at_ms = 1000
+        do = "kill"
+        who = "all"
+        back = { least_ms = 0, most_ms = 500 }
+        [[event]]
+        at_ms = 1000
+        do = "node-kill"
+        who = "n1"
+        back = { least_ms = 200, most_ms = 200 }
+        [expect]
+        falls = 0
+        "#,
+    );
+    run.is_sound();
+    assert!(run.served_by(0) > 0 && run.served_by(1) > 0, "they serve");
+}
--- a/crates/sableloom/tests/fleet/members.rs
+++ b/crates/sableloom/tests/fleet/members.rs
@@ -173,3 +173,20 @@
     // At no time were more than two gone.
     nobody_has_more_than(&run, 3);
 }
+
+/// The wall clock went back an hour before a restart: its life is earlier than the one that all remember, and
+/// it is told so.
+#[test]
+fn a_life_from_a_clock_that_went_back_is_corrected() {
+    let more = "[[event]]\nat_ms = 500\ndo = \"wall-clock\"\nwho = \"b2\"\nby_ms = -3600000\n\
+                [[event]]\nat_ms = 1000\ndo = \"kill\"\nwho = \"b2\"\n\
+                back = { least_ms = 300, most_ms = 300 }\n";
+    let run = know(4, 4, more);
+    agreed_on(&run, &[0, 1, 2, 3]);
+    let lives = run.logs[0].lines().filter_map(|l| l.split_once("fleet: b2 is there, life "));
+    let lives: Vec<u32> = lives.filter_map(|(_, life)| life.parse().ok()).collect();
+    assert!(lives.len() >= 2 && lives.is_sorted(), "{lives:?}");
+    // An hour has 36,000 tenths of a second.
+    let own = status(&run.report, 1, "/fleet/life").as_u64().expect("a number");
+    assert!(own > u64::from(lives[0]) && own < u64::from(lives[0]) + 30_000, "{own} {lives:?}");
+}
