--- a/crates/rehearsal/src/read.rs
+++ b/crates/rehearsal/src/read.rs
@@ -466,7 +466,7 @@
         let who = reading.who(table, "who", Side::Balancers);
         let binary = table.text("binary").map(|t| t.value);
         let descriptors = table.whole("descriptors", 16..=1_000_000, "").map(|n| n.value as u64);
-        let memory_mb = table.whole("memory_mb", 16..=1_000_000, " MB").map(|n| n.value as u64);
+        let memory_mb = table.whole("memory_mb", 1..=1_000_000, " MB").map(|n| n.value as u64);
         let says = table.whole("says", 1..=10_000, "").map(|n| n.value);
         table.finish();
         let Some(who) = who else { continue };
--- a/crates/sableloom/tests/fleet/faults.rs
+++ b/crates/sableloom/tests/fleet/faults.rs
@@ -483,7 +483,7 @@
 /// One may map so little memory that it can't start: it is named, and the rest is ended.
 #[test]
 fn a_balancer_without_memory_is_named() {
-    let more = "[[process]]\nwho = \"b2\"\nmemory_mb = 16\n";
+    let more = "[[process]]\nwho = \"b2\"\nmemory_mb = 2\n";
     let failed = rehearse_with(3, 2, 20, 1, more, |_| {}, "");
     let error = failed.err().expect("it can't be played");
     assert!(error.contains("b2 can't start"), "{error}");
