--- a/crates/fleet/tests/parts.rs
+++ b/crates/fleet/tests/parts.rs
@@ -6,7 +6,7 @@
 
 use sableloom_fleet::{Core, Out, Setup};
 use sableloom_members::{Change, Key, Listed, Times as Talk, key_of};
-use sableloom_simnet::{MS, Net, Process, S, Sent, address, place};
+use sableloom_simnet::{MS, Net, Process, S, Sent, address, on_all_cores, place};
 use sableloom_standing::{Part, Times, Why};
 use sableloom_types::Time;
 
@@ -108,16 +108,6 @@
     None
 }
 
-fn on_all_cores(seeds: std::ops::Range<u64>, play: impl Fn(u64) + Sync) {
-    let threads = std::thread::available_parallelism().map_or(2, |n| n.get()) as u64;
-    std::thread::scope(|scope| {
-        for thread in 0..threads {
-            let (play, seeds) = (&play, seeds.clone());
-            scope.spawn(move || seeds.filter(|s| s % threads == thread).for_each(play));
-        }
-    });
-}
-
 /// Once the net is whole, all share among those that run within this: the longest proof, calls of the
 /// missing one a period of up to nine times its length, and the longest doubt.
 const SHARED_WITHIN: i64 = 90 * S;
--- a/crates/members/tests/simulation.rs
+++ b/crates/members/tests/simulation.rs
@@ -4,6 +4,7 @@
 mod sim;
 
 use sableloom_members::{Change, Health, Standing};
+use sableloom_simnet::on_all_cores;
 
 use sim::{MS, S, Sim, key};
 
@@ -19,21 +20,6 @@
     sim
 }
 
-/// Plays these seeds on all cores.
-fn on_all_cores(seeds: std::ops::Range<u64>, play: impl Fn(u64) + Sync) {
-    let threads = std::thread::available_parallelism().map_or(2, |n| n.get()) as u64;
-    std::thread::scope(|scope| {
-        for thread in 0..threads {
-            let (play, seeds) = (&play, seeds.clone());
-            scope.spawn(move || {
-                for seed in seeds.filter(|seed| seed % threads == thread) {
-                    play(seed);
-                }
-            });
-        }
-    });
-}
-
 /// One schedule: whatever happens in twelve seconds, and a whole net after it.
 fn schedule(seed: u64) -> i64 {
     let n = 3 + (seed % 7) as usize;
--- a/crates/simnet/src/lib.rs
+++ b/crates/simnet/src/lib.rs
@@ -337,3 +337,14 @@
         self.open.iter_mut().flatten().for_each(|open| *open = true);
     }
 }
+
+/// Plays these seeds on all cores. A play that panics fails the test that calls this.
+pub fn on_all_cores(seeds: std::ops::Range<u64>, play: impl Fn(u64) + Sync) {
+    let threads = std::thread::available_parallelism().map_or(2, |n| n.get()) as u64;
+    std::thread::scope(|scope| {
+        for thread in 0..threads {
+            let (play, seeds) = (&play, seeds.clone());
+            scope.spawn(move || seeds.filter(|seed| seed % threads == thread).for_each(play));
+        }
+    });
+}
