--- a/review/rig/src/balancer.rs
+++ b/review/rig/src/balancer.rs
@@ -18,8 +18,7 @@
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
 
-pub const SIGHUP: i32 = 1;
-pub const SIGTERM: i32 = 15;
+const SIGHUP: i32 = 1;
 
 /// A free port of 127.0.0.1.
 pub fn free_address() -> SocketAddr {
@@ -47,8 +46,9 @@
 /// A running balancer; it is killed when this is dropped.
 pub struct Balancer {
     child: Child,
-    pub address: SocketAddr,
     pub log: PathBuf,
+    address: SocketAddr,
+    file: PathBuf,
 }
 
 impl Balancer {
@@ -88,7 +88,7 @@
             });
         }
         let child = command.spawn().map_err(|e| format!("{run}: {e}"))?;
-        let mut balancer = Self { child, address, log };
+        let mut balancer = Self { child, log, address, file };
         let end = Instant::now() + Duration::from_secs(30);
         while Instant::now() < end {
             if balancer.is_up() {
@@ -114,7 +114,16 @@
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
-    pub fn signal(&self, signal: i32) {
+    /// Replaces the file of the configuration, and sends SIGHUP.
+    pub fn reload(&self, config: &str) -> std::io::Result<()> {
+        let new = self.file.with_extension("new");
+        fs::write(&new, config)?;
+        fs::rename(&new, &self.file)?;
+        self.signal(SIGHUP);
+        Ok(())
+    }
+
+    fn signal(&self, signal: i32) {
         // SAFETY: kill(2) on the process that this case started and has not waited for.
         unsafe { kill(self.child.id() as i32, signal) };
     }
--- a/review/rig/src/cases/bodies.rs
+++ b/review/rig/src/cases/bodies.rs
@@ -42,13 +42,13 @@
             Member { id: format!("s-{n}"), address: node.address, zone: "malaga", phase: "SERVING" }
         })
         .collect();
-    let discovery = Discovery::start(members);
+    let discovery = Discovery::start(members, record);
     let listen = free_address();
     let config = Deployment {
-        name: "n0", listen, discovery: discovery.address, known: &discovery.list(), memory_mb: 64, sockets: 512, balancers: 1, classes: &PERTH,
+        name: "n0", listen, discovery: discovery.address(), known: &discovery.list(), memory_mb: 64, sockets: 512, balancers: 1, classes: &PERTH,
     }
     .json();
-    let mut balancer = Balancer::start(&stage.root, &stage.folder, "n0", listen, discovery.address, &config)?;
+    let mut balancer = Balancer::start(&stage.root, &stage.folder, "n0", listen, discovery.address(), &config)?;
     let start = Instant::now();
     let counts: Arc<[AtomicUsize; 4]> = Arc::default();
     let clients: Vec<_> = (0..CLIENTS)
--- a/review/rig/src/cases/mod.rs
+++ b/review/rig/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod bodies;
 mod memory;
+mod reloads;
 mod second_answers;
 
 use crate::{Stage, Verdict};
@@ -10,6 +11,7 @@
     match case {
         "memory" => memory::play(stage),
         "bodies" => bodies::play(stage),
+        "reloads" => reloads::play(stage),
         "second-answers" => second_answers::play(stage),
         other => Err(format!("no case {other}")),
     }
--- a/review/rig/src/cases/second_answers.rs
+++ b/review/rig/src/cases/second_answers.rs
@@ -53,13 +53,13 @@
             Member { id: format!("s-{n}"), address: link::open(node.address, ONE_WAY), zone: "osborne-park", phase: "SERVING" }
         })
         .collect();
-    let discovery = Discovery::start(members);
+    let discovery = Discovery::start(members, record);
     let listen = free_address();
     let config = Deployment {
-        name: "n0", listen, discovery: discovery.address, known: &discovery.list(), memory_mb: 128, sockets: 512, balancers: 1, classes: &PERTH,
+        name: "n0", listen, discovery: discovery.address(), known: &discovery.list(), memory_mb: 128, sockets: 512, balancers: 1, classes: &PERTH,
     }
     .json();
-    let mut balancer = Balancer::start(&stage.root, &stage.folder, "n0", listen, discovery.address, &config)?;
+    let mut balancer = Balancer::start(&stage.root, &stage.folder, "n0", listen, discovery.address(), &config)?;
     let counts: Arc<[AtomicUsize; 4]> = Arc::default();
     let end = Instant::now() + LENGTH;
     let clients: Vec<_> = (0..CLIENTS)
