--- a/review/rig/src/balancer.rs
+++ b/review/rig/src/balancer.rs
@@ -53,8 +53,16 @@
 
 impl Balancer {
     /// Starts `run` of deploy/balancer.toml, and waits until it is ready: GET /up is answered 200.
-    pub fn start(root: &Path, folder: &Folder, name: &str, address: SocketAddr, discovery: SocketAddr, config: &str) -> Result<Self, String> {
-        let deploy = fs::read_to_string(root.join("deploy/balancer.toml")).map_err(|e| format!("deploy file: {e}"))?;
+    pub fn start(
+        root: &Path,
+        folder: &Folder,
+        name: &str,
+        address: SocketAddr,
+        discovery: SocketAddr,
+        config: &str,
+    ) -> Result<Self, String> {
+        let deploy = fs::read_to_string(root.join("deploy/balancer.toml"))
+            .map_err(|e| format!("deploy file: {e}"))?;
         let run = deploy
             .lines()
             .find_map(|l| l.strip_prefix("run = \"")?.split('"').next())
@@ -62,7 +70,8 @@
         let file = folder.0.join(format!("{name}.json"));
         let log = folder.0.join(format!("{name}.log"));
         let tmp = folder.0.join(format!("{name}.tmp"));
-        let write = |path: &Path, text: &str| fs::write(path, text).map_err(|e| format!("{path:?}: {e}"));
+        let write =
+            |path: &Path, text: &str| fs::write(path, text).map_err(|e| format!("{path:?}: {e}"));
         write(&file, config)?;
         fs::create_dir_all(&tmp).map_err(|e| e.to_string())?;
         let out = fs::File::create(&log).map_err(|e| e.to_string())?;
@@ -105,7 +114,8 @@
     fn is_up(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(self.address) else { return false };
         let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
-        let _ = stream.write_all(b"GET /up HTTP/1.1\r\nHost: backend.local\r\nConnection: close\r\n\r\n");
+        let _ = stream
+            .write_all(b"GET /up HTTP/1.1\r\nHost: backend.local\r\nConnection: close\r\n\r\n");
         let mut answer = [0; 12];
         stream.read_exact(&mut answer).is_ok() && &answer == b"HTTP/1.1 200"
     }
@@ -139,7 +149,8 @@
 
     /// Resident memory in kB.
     pub fn memory_kb(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let status =
+            fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
         let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap_or("");
         line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).unwrap_or(0)
     }
--- a/review/rig/src/cases/memory.rs
+++ b/review/rig/src/cases/memory.rs
@@ -45,10 +45,18 @@
     let discovery = Discovery::start(members, record);
     let listen = free_address();
     let config = Deployment {
-        name: "n0", listen, discovery: discovery.address(), known: &discovery.list(), memory_mb: MEMORY_MB, sockets: SOCKETS, balancers: 1, classes: &PERTH,
+        name: "n0",
+        listen,
+        discovery: discovery.address(),
+        known: &discovery.list(),
+        memory_mb: MEMORY_MB,
+        sockets: SOCKETS,
+        balancers: 1,
+        classes: &PERTH,
     }
     .json();
-    let mut balancer = Balancer::start(&stage.root, &stage.folder, "n0", listen, discovery.address(), &config)?;
+    let mut balancer =
+        Balancer::start(&stage.root, &stage.folder, "n0", listen, discovery.address(), &config)?;
     let start = Instant::now();
     let stop = Arc::new(AtomicBool::new(false));
     let counts: Arc<[AtomicUsize; 3]> = Arc::default();
@@ -91,7 +99,11 @@
     sleep(Duration::from_secs(1));
     stop.store(true, Ordering::SeqCst);
     let [asked, served, unanswered] = &*counts;
-    let (asked, served, unanswered) = (asked.load(Ordering::SeqCst), served.load(Ordering::SeqCst), unanswered.load(Ordering::SeqCst));
+    let (asked, served, unanswered) = (
+        asked.load(Ordering::SeqCst),
+        served.load(Ordering::SeqCst),
+        unanswered.load(Ordering::SeqCst),
+    );
     record.say(format!("most memory {most} kB of {} kB; {asked} requests of other clients, {served} served, {unanswered} without an answer", MEMORY_MB * 1024));
     if served * 2 < asked {
         return Err("under half of the requests were served".into());
@@ -99,7 +111,14 @@
     Ok(if over { Verdict::Broken } else { Verdict::Held })
 }
 
-fn ask_evenly(c: usize, listen: SocketAddr, start: Instant, record: &Record, counts: &[AtomicUsize; 3], stop: &AtomicBool) {
+fn ask_evenly(
+    c: usize,
+    listen: SocketAddr,
+    start: Instant,
+    record: &Record,
+    counts: &[AtomicUsize; 3],
+    stop: &AtomicBool,
+) {
     let mut client = Client::new(listen);
     let mut next = start + PAUSE.mul_f64(c as f64 / CLIENTS as f64);
     for n in 0.. {
--- a/review/rig/src/cases/second_answers.rs
+++ b/review/rig/src/cases/second_answers.rs
@@ -14,7 +14,7 @@
 use crate::upstream::{Plan, Runs, Upstream, body_for};
 use crate::{Stage, Verdict, link};
 
-/// Points nodes, all in one zone and the balancer's clients' requests spread over them.
+/// Points nodes, all in a zone next to the balancer's.
 const NODES: usize = 4;
 /// Between data centres, one way: the middle of 0.7 to 1.3 ms.
 const ONE_WAY: Duration = Duration::from_millis(1);
@@ -50,16 +50,29 @@
     let members = (0..NODES)
         .map(|n| {
             let node = Upstream::start(&format!("node{n}"), record, &runs, planner.clone());
-            Member { id: format!("s-{n}"), address: link::open(node.address, ONE_WAY), zone: "osborne-park", phase: "SERVING" }
+            Member {
+                id: format!("s-{n}"),
+                address: link::open(node.address, ONE_WAY),
+                zone: "osborne-park",
+                phase: "SERVING",
+            }
         })
         .collect();
     let discovery = Discovery::start(members, record);
     let listen = free_address();
     let config = Deployment {
-        name: "n0", listen, discovery: discovery.address(), known: &discovery.list(), memory_mb: 128, sockets: 512, balancers: 1, classes: &PERTH,
+        name: "n0",
+        listen,
+        discovery: discovery.address(),
+        known: &discovery.list(),
+        memory_mb: 128,
+        sockets: 512,
+        balancers: 1,
+        classes: &PERTH,
     }
     .json();
-    let mut balancer = Balancer::start(&stage.root, &stage.folder, "n0", listen, discovery.address(), &config)?;
+    let mut balancer =
+        Balancer::start(&stage.root, &stage.folder, "n0", listen, discovery.address(), &config)?;
     let counts: Arc<[AtomicUsize; 4]> = Arc::default();
     let end = Instant::now() + LENGTH;
     let clients: Vec<_> = (0..CLIENTS)
@@ -96,6 +109,7 @@
                         }
                         End::Answered { status: 200, body } => {
                             counts[2].fetch_add(1, Ordering::SeqCst);
+                            counts[3].fetch_add(usize::from(redeem), Ordering::SeqCst);
                             let body = String::from_utf8_lossy(&body).into_owned();
                             record.say(format!("FOREIGN ANSWER: client {c}: {class} {id}: 200 after {ms:.1} ms with \"{body}\""));
                         }
@@ -113,9 +127,14 @@
     if let Some(status) = balancer.ended() {
         return Err(format!("the balancer ended: {status}"));
     }
-    let [asked, served, foreign, _] = &*counts;
-    let (asked, served, foreign) = (asked.load(Ordering::SeqCst), served.load(Ordering::SeqCst), foreign.load(Ordering::SeqCst));
-    record.say(format!("{asked} requests, {served} served with their own answers, {foreign} served with the answer to another request"));
+    let [asked, served, foreign, redeemed] = &*counts;
+    let (asked, served, foreign) = (
+        asked.load(Ordering::SeqCst),
+        served.load(Ordering::SeqCst),
+        foreign.load(Ordering::SeqCst),
+    );
+    let redeemed = redeemed.load(Ordering::SeqCst);
+    record.say(format!("{asked} requests, {served} served with their own answers, {foreign} served with the answer to another request, {redeemed} of these redemptions"));
     if served * 2 < asked {
         return Err("under half of the requests were served".into());
     }
--- a/review/rig/src/discovery.rs
+++ b/review/rig/src/discovery.rs
@@ -59,7 +59,10 @@
 
 impl Discovery {
     pub fn start(members: Vec<Member>, record: &Arc<Record>) -> Self {
-        let state = Arc::new((Mutex::new(State { revision: 1, members, turn: Duration::ZERO }), Condvar::new()));
+        let state = Arc::new((
+            Mutex::new(State { revision: 1, members, turn: Duration::ZERO }),
+            Condvar::new(),
+        ));
         let door = Mutex::new(Door::open(&state, record));
         Self { state, record: record.clone(), door }
     }
@@ -83,7 +86,8 @@
         let mut state = self.state.0.lock().unwrap();
         state.revision += 1;
         state.members.iter_mut().filter(|m| m.id == id).for_each(|m| m.phase = "DRAINING");
-        self.record.line(format!("discovery has it: {id} is DRAINING, revision {}", state.revision));
+        self.record
+            .line(format!("discovery has it: {id} is DRAINING, revision {}", state.revision));
         self.state.1.notify_all();
     }
 
@@ -125,7 +129,12 @@
     }
 }
 
-fn serve(mut stream: TcpStream, state: &(Mutex<State>, Condvar), record: &Record, address: SocketAddr) {
+fn serve(
+    mut stream: TcpStream,
+    state: &(Mutex<State>, Condvar),
+    record: &Record,
+    address: SocketAddr,
+) {
     let _ = stream.set_nodelay(true);
     let port = address.port();
     let mut buffer = Vec::new();
@@ -165,7 +174,10 @@
         );
         let written = stream.write_all(answer.as_bytes()).is_ok();
         let ms = came.elapsed().as_millis();
-        record.line(format!("discovery at {port}: answers {target} with revision {revision} after {ms} ms{}", if written { "" } else { ": the balancer has closed" }));
+        record.line(format!(
+            "discovery at {port}: answers {target} with revision {revision} after {ms} ms{}",
+            if written { "" } else { ": the balancer has closed" }
+        ));
         if !written {
             return;
         }
