--- a/review/rig/src/cases/memory.rs
+++ b/review/rig/src/cases/memory.rs
@@ -17,20 +17,22 @@
 use crate::upstream::{Plan, Runs, Upstream};
 use crate::{Stage, Verdict};
 
-const MEMORY_MB: u64 = 32;
-const SOCKETS: u64 = 1024;
+const MEMORY_MB: u64 = 48;
+const SOCKETS: u64 = 672;
 const NODES: usize = 4;
 const CLIENTS: usize = 20;
 /// Each client asks once in this time.
 const PAUSE: Duration = Duration::from_millis(400);
 const LENGTH: Duration = Duration::from_secs(20);
-/// Clients that stop in the middle of a request, at once.
-const STOPPING: usize = 500;
-const VOLLEYS_AT_S: [u64; 2] = [5, 11];
-/// Of each of their requests: one long field of the head, the length of the body, and what comes of it.
-const FIELD_BYTES: usize = 24 << 10;
-const BODY_BYTES: usize = 8000;
-const BODY_SENT: usize = 7900;
+/// Clients that stop in the middle of a request, at once; the seconds at which they come.
+const STOPPING: usize = 420;
+const VOLLEYS_AT_S: [u64; 5] = [3, 6, 9, 12, 15];
+/// Of each of their requests: the fields of the head and the bytes of them all.
+const FIELDS: usize = 92;
+const HEAD_BYTES: usize = 31_900;
+/// The length of the body, and what comes of it; of one client in four, and of the others.
+const LONG_BODY: (usize, usize) = (65_536, 65_000);
+const SHORT_BODY: (usize, usize) = (8_192, 8_100);
 
 pub fn play(stage: &Stage) -> Result<Verdict, String> {
     let record = &stage.record;
@@ -165,15 +167,20 @@
     let mut streams = Vec::new();
     for b in 0..STOPPING {
         let Ok(mut stream) = TcpStream::connect(listen) else { continue };
-        let head = format!(
-            "POST /redeem HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: bad-{volley}-{b:03}\r\nX-Qos: redeem\r\nX-Object: 0\r\nX-Expires-In-Ms: 600\r\nX-Note: {}\r\nContent-Length: {BODY_BYTES}\r\n\r\n",
-            "n".repeat(FIELD_BYTES)
+        let (length, sent) = if b % 4 == 0 { LONG_BODY } else { SHORT_BODY };
+        let mut head = format!(
+            "POST /redeem HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: bad-{volley}-{b:03}\r\nX-Qos: redeem\r\nX-Expires-In-Ms: 600\r\nContent-Length: {length}\r\n"
         );
-        let mut bytes = head.into_bytes();
-        bytes.resize(bytes.len() + BODY_SENT, b'x');
-        if stream.write_all(&bytes).is_ok() {
-            streams.push((stream, Instant::now()));
+        for field in 0..FIELDS {
+            head.push_str(&format!("X-Note-{field}: {}\r\n", "n".repeat(HEAD_BYTES / FIELDS - 14)));
         }
+        head.push_str("\r\n");
+        let mut bytes = head.into_bytes();
+        bytes.resize(bytes.len() + sent, b'x');
+        // What does not fit into the system's buffers is not sent: the client has stopped.
+        let _ = stream.set_write_timeout(Some(Duration::from_millis(50)));
+        let _ = stream.write_all(&bytes);
+        streams.push((stream, Instant::now()));
     }
     let mut answers: HashMap<String, (usize, u128)> = HashMap::new();
     for (mut stream, since) in streams {
