--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 rig=../rig/target/release/review-rig
 [ -x "$rig" ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec "$rig" bodies .
+exec "$rig" memory .
--- a/review/rig/src/balancer.rs
+++ b/review/rig/src/balancer.rs
@@ -147,11 +147,11 @@
         self.child.try_wait().ok().flatten()
     }
 
-    /// Resident memory in kB.
+    /// Anonymous resident memory in kB: without the program's own file, which is mapped.
     pub fn memory_kb(&self) -> u64 {
         let status =
             fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap_or("");
+        let line = status.lines().find(|l| l.starts_with("RssAnon:")).unwrap_or("");
         line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).unwrap_or(0)
     }
 }
