--- a/crates/http1/src/front/body.rs
+++ b/crates/http1/src/front/body.rs
@@ -1,4 +1,4 @@
-//! Bodies: of requests, read completely and charged as declared; of answers, on their way to the client.
+//! Bodies: of requests, read completely and charged as they arrive; of answers, on their way to the client.
 
 use std::convert::Infallible;
 use std::pin::Pin;
@@ -22,7 +22,7 @@
 const COPIES_OF_FORWARDED_REQUEST: usize = 3;
 
 /// Reads a complete body, or returns the status that rejects it. The request, with the `head_bytes` that are kept of its
-/// head, is charged for its declared length, and once it is complete for what forwarding it takes.
+/// head, is charged for what has arrived of it, and once it is complete for what forwarding it takes.
 pub(super) async fn read_body(
     context: &FrontContext,
     client: &ClientHandle,
@@ -35,7 +35,7 @@
     if declared > MAX_BODY_BYTES as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let charge = charged_bytes(head_bytes + declared as usize);
+    let charge = charged_bytes(head_bytes);
     context.charge_request(client, charge, partial).await.map_err(no_memory)?;
     // Copied into one buffer: pieces of a few bytes would each hold a buffer of their own.
     let mut bytes = Vec::new();
@@ -47,6 +47,8 @@
         }
         if length > bytes.capacity() {
             let capacity = (2 * bytes.capacity()).min(declared as usize).max(length);
+            let charge = charged_bytes(head_bytes + capacity);
+            context.charge_request(client, charge, partial).await.map_err(no_memory)?;
             bytes.reserve_exact(capacity - bytes.len());
         }
         bytes.extend_from_slice(&data);
--- a/crates/http1/src/front/client_memory.rs
+++ b/crates/http1/src/front/client_memory.rs
@@ -103,7 +103,8 @@
         let polled = self.memory.poll_grow(cx, &mut charge.borrow_mut(), bytes, requester);
         match polled {
             Poll::Ready(Ok(())) => self.memory_changed(client),
-            Poll::Ready(Err(_)) | Poll::Pending => {}
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => client.stream.defer_reads(),
         }
         polled
     }
--- a/crates/http1/src/front/request.rs
+++ b/crates/http1/src/front/request.rs
@@ -216,8 +216,9 @@
     request: ReceivedRequest,
 ) -> FrontAnswer {
     let ReceivedRequest { head, method, fields, body } = request;
-    // Its deadline counts from its last byte, also where that came behind another request.
+    // Its deadline counts from its last byte, also where that came behind another request or waited for memory.
     let arrived = context.clock.time_of(client.stream.last_read_at());
+    client.stream.end_deferral();
     context.notify_admission(client, Admission::request_complete);
     let RequestHead { id, class, tenant, key, expires, target } = head;
     let request = RequestContext { class, tenant, key, deadline: arrived.plus(expires) };
--- a/crates/http1/src/tracked_stream.rs
+++ b/crates/http1/src/tracked_stream.rs
@@ -30,6 +30,8 @@
 pub(crate) struct TrackedStream {
     tcp: TcpStream,
     last_read_at: Cell<Instant>,
+    /// Since when bytes may have waited in the system because there was no memory for them.
+    reads_deferred_since: Cell<Option<Instant>>,
     /// Whether the peer accepts none of what is written.
     write_blocked: Cell<bool>,
     /// Since when the peer has not accepted all that there was to write.
@@ -52,6 +54,7 @@
         Rc::new(Self {
             tcp,
             last_read_at: Cell::new(Instant::now()),
+            reads_deferred_since: Cell::new(None),
             write_blocked: Cell::new(false),
             output_pending_since: Cell::new(None),
             request: RequestProgress::default(),
@@ -96,11 +99,23 @@
         self.idle_since.get()
     }
 
-    /// When bytes were last read.
+    /// When the last bytes that were read had arrived: when they were read, or the earliest time at which they may have
+    /// waited for memory.
     pub(crate) fn last_read_at(&self) -> Instant {
         self.last_read_at.get()
     }
 
+    /// Nothing is read now, as there is no memory for it.
+    pub(crate) fn defer_reads(&self) {
+        let since = self.reads_deferred_since.get().unwrap_or_else(Instant::now);
+        self.reads_deferred_since.set(Some(since));
+    }
+
+    /// What arrives from now on waits for no memory.
+    pub(crate) fn end_deferral(&self) {
+        self.reads_deferred_since.set(None);
+    }
+
     /// Whether the peer accepts none of what is written.
     pub(crate) fn is_write_blocked(&self) -> bool {
         self.write_blocked.get()
@@ -195,13 +210,15 @@
                 Ok(n) => {
                     if n > 0 {
                         buf.put_slice(&bytes[..n]);
-                        self.last_read_at.set(Instant::now());
+                        let arrived = self.reads_deferred_since.get().unwrap_or_else(Instant::now);
+                        self.last_read_at.set(arrived);
                         self.request.bytes_read();
                         on_read(&bytes[..n]);
                     }
                     return Poll::Ready(Ok(()));
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                // All that had waited was read.
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.end_deferral(),
                 Err(e) => return Poll::Ready(Err(e)),
             }
         }
--- a/crates/http1/src/tracked_stream/tests.rs
+++ b/crates/http1/src/tracked_stream/tests.rs
@@ -277,3 +277,24 @@
     assert!(!stream.has_output_pending_for(Duration::ZERO), "all is written");
     assert!(accepted < answer.len() && parts > 1, "{accepted} bytes, {parts} parts");
 }
+
+/// Guards against a deadline that starts only when there is memory to read a request: its last byte had arrived before.
+#[tokio::test(flavor = "current_thread")]
+async fn bytes_that_waited_for_memory_count_as_arrived_when_the_wait_began_at_the_latest() {
+    let (stream, mut io, mut peer) = pair().await;
+    stream.defer_reads();
+    peer.write_all(&[b'x'; 3 * MAX_READ_BYTES]).await.expect("it is sent");
+    while !stream.has_input() {
+        tokio::task::yield_now().await;
+    }
+    let waited = Instant::now();
+    stream.defer_reads();
+    let mut bytes = vec![0; 3 * MAX_READ_BYTES];
+    io.read_exact(&mut bytes).await.expect("it is read");
+    assert!(stream.last_read_at() <= waited, "the time of the first of many reads counts for all");
+    // What comes behind it waits for nothing.
+    stream.end_deferral();
+    peer.write_all(b"y").await.expect("it is sent");
+    io.read_exact(&mut bytes[..1]).await.expect("it is read");
+    assert!(stream.last_read_at() > waited);
+}
--- a/crates/sableloom/tests/sockets/memory.rs
+++ b/crates/sableloom/tests/sockets/memory.rs
@@ -125,6 +125,31 @@
     check_memory(&balancer, limits, "trickling clients");
 }
 
+/// Guards against memory for a body being taken as declared: clients that had declared bodies and sent little of them
+/// held all of it, and complete requests waited for it past their time.
+#[test]
+fn declared_bodies_that_do_not_arrive_hold_no_memory() {
+    // More is declared than the balancer may hold.
+    for (limits, stopped) in [((24, 512), 250), ((64, 512), 150), ((192, 1024), 500)] {
+        let (upstream, _came) = Peer::serving();
+        let balancer = Balancer::start(roomy_config(&upstream, limits));
+        let crowd: Vec<_> = (0..stopped)
+            .map(|n| {
+                let mut client = balancer.client();
+                client.write(open_head(&format!("stop-{n}"), "") + &body_part(65_536, 1_000));
+                client
+            })
+            .collect();
+        for n in 0..10 {
+            let answer = balancer.ask(post("pay", &n.to_string(), "", &"p".repeat(12 << 10)));
+            assert_eq!(answer.status(), 200, "{limits:?}");
+        }
+        // None was shed, and none has met its timeout: nobody waited for them.
+        let ended = crowd.iter().filter(|client| client.has_news()).count();
+        assert_eq!(ended, 0, "{limits:?}");
+    }
+}
+
 /// Complete requests hold all memory. Those that find none are rejected at once, and every one gets its answer.
 #[test]
 fn requests_that_find_no_memory_are_rejected_and_those_before_them_are_served() {
