Lists of discovery are held to the memory limit

An answer of discovery could be 8 MiB long whatever `memory_mb` is, and each server of an applied list takes 1.65 kB (20,000 servers: 32,984 kB in all), uncounted: a long list takes a small balancer over its limit, again after each restart.

Change: the longest answer is 1/32 of `memory_mb`, 8 MiB at most; a longer one is a failed poll, and the list before stays. The servers' state is charged to the budget of connections and messages (`MemoryBudget::set_other`).

--- a/crates/discovery/src/discovery.rs
+++ b/crates/discovery/src/discovery.rs
@@ -33,6 +33,7 @@
     address: Cell<SocketAddr>,
     clock: Clock,
     dial: Dial,
+    max_answer_bytes: usize,
     revision: Cell<Option<u64>>,
     listener: RefCell<Option<Rc<dyn EndpointListener>>>,
     schedule: RefCell<PollSchedule>,
@@ -49,6 +50,8 @@
     pub clock: Clock,
     /// Opens connections to it.
     pub dial: Dial,
+    /// The most bytes of one answer; a longer one is a failed poll.
+    pub max_answer_bytes: usize,
     /// The revision of the list that is known.
     pub revision: Option<u64>,
     /// When it is polled.
@@ -58,11 +61,13 @@
 impl Discovery {
     /// A service that is not polled yet.
     pub fn new(options: DiscoveryOptions) -> Rc<Self> {
-        let DiscoveryOptions { address, clock, dial, revision, schedule } = options;
+        let DiscoveryOptions { address, clock, dial, max_answer_bytes, revision, schedule } =
+            options;
         Rc::new(Self {
             address: Cell::new(address),
             clock,
             dial,
+            max_answer_bytes,
             revision: Cell::new(revision),
             listener: RefCell::new(None),
             schedule: RefCell::new(schedule),
@@ -141,6 +146,7 @@
             wait: request.wait,
             deadline: self.clock.instant_of(request.deadline),
             timing: &timing,
+            max_answer_bytes: self.max_answer_bytes,
         };
         let mut first = pin!(poll.run(kept));
         let Some(hedge_at) = request.hedge_at else { return first.await };
--- a/crates/discovery/src/poll.rs
+++ b/crates/discovery/src/poll.rs
@@ -14,8 +14,6 @@
 use crate::connection::{ConnectError, Dial, DiscoveryConnection};
 use crate::endpoint_list::EndpointList;
 
-/// The most bytes of one answer: some 50,000 entries.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// An answer that has begun must be complete within this many of the pauses that it may make.
 const MAX_PAUSES_OF_ANSWER: u32 = 4;
 
@@ -31,6 +29,8 @@
     /// After this, without a byte of an answer, the poll is silent.
     pub(crate) deadline: Instant,
     pub(crate) timing: &'a PollTiming,
+    /// The most bytes of the answer.
+    pub(crate) max_answer_bytes: usize,
 }
 
 /// A list, and the connection that it came on, which can be used again.
@@ -126,7 +126,7 @@
             let Some(frame) = frame else { return Ok(connection) };
             let frame = frame.map_err(|_| PollError::AnswerCutOff)?;
             if let Ok(data) = frame.into_data() {
-                if received.len() + data.len() > MAX_ANSWER_BYTES {
+                if received.len() + data.len() > self.max_answer_bytes {
                     return Err(PollError::AnswerTooLong.into());
                 }
                 received.extend_from_slice(&data);
--- a/crates/discovery/tests/polling/main.rs
+++ b/crates/discovery/tests/polling/main.rs
@@ -73,6 +73,7 @@
         address: address(1),
         clock: Clock::anchored_at(1_796_000_000_000_000 + started),
         dial,
+        max_answer_bytes: 1 << 20,
         revision: Some(1),
         schedule: PollSchedule::new(PollTiming::new(&options), u64::from(position), false),
     });
--- a/crates/exchange/src/address_book.rs
+++ b/crates/exchange/src/address_book.rs
@@ -35,6 +35,11 @@
 }
 
 impl AddressBook {
+    /// The number of servers that are kept.
+    pub(crate) fn len(&self) -> usize {
+        self.servers.len()
+    }
+
     pub(crate) fn address(&self, server: ServerId) -> Option<SocketAddr> {
         self.servers.get(&server).map(|server| server.address)
     }
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -130,6 +130,11 @@
         self.state.borrow().requests.unfinished().count()
     }
 
+    /// The number of servers of which state is kept: those of the list, and those that left it with an attempt in flight.
+    pub fn servers(&self) -> usize {
+        self.state.borrow().endpoints.len()
+    }
+
     /// Answers all open requests because the process is about to terminate: requests that were never forwarded are
     /// rejected, the others fail. Afterwards nothing is forwarded, and new requests are rejected at once. Without
     /// this, a request that was read in the last 60 ms before the termination was forwarded, and its answer arrived
--- a/crates/http1/src/memory.rs
+++ b/crates/http1/src/memory.rs
@@ -23,6 +23,8 @@
 pub struct MemoryBudget {
     ledger: Arc<Ledger>,
     reclaimer: RefCell<Option<Weak<dyn MemoryReclaimer>>>,
+    /// What is held beside connections and messages.
+    other: RefCell<MemoryCharge>,
 }
 
 /// Frees memory for messages.
@@ -39,7 +41,18 @@
     /// A budget of this many bytes.
     pub fn new(bytes: usize) -> Rc<Self> {
         let ledger = Ledger { limit: bytes, used: AtomicUsize::new(0), waiting: Mutex::default() };
-        Rc::new(Self { ledger: Arc::new(ledger), reclaimer: RefCell::default() })
+        let ledger = Arc::new(ledger);
+        let other = MemoryCharge { ledger: ledger.clone(), bytes: 0 };
+        Rc::new(Self { ledger, reclaimer: RefCell::default(), other: RefCell::new(other) })
+    }
+
+    /// Sets how many bytes of the budget are held beside connections and their messages.
+    pub fn set_other(&self, bytes: usize) {
+        let mut other = self.other.borrow_mut();
+        if bytes < other.bytes {
+            drop(other.take());
+        }
+        other.set_at_least(bytes);
     }
 
     /// Sets what frees memory when it is short.
--- a/crates/http1/src/memory/tests.rs
+++ b/crates/http1/src/memory/tests.rs
@@ -106,6 +106,15 @@
     assert!(reclaimer.demands.borrow().is_empty());
 }
 
+#[test]
+fn what_is_held_beside_connections_leaves_them_less() {
+    let (budget, _reclaimer) = budget();
+    budget.set_other(600);
+    assert!(!budget.charge().try_grow(300));
+    budget.set_other(500);
+    assert!(budget.charge().try_grow(300));
+}
+
 #[test]
 fn a_charge_is_released_wherever_it_ends() {
     let (budget, _reclaimer) = budget();
--- a/crates/sableloom/src/platform.rs
+++ b/crates/sableloom/src/platform.rs
@@ -17,7 +17,7 @@
 use tokio::time::sleep;
 
 use crate::config::{Config, ConfigError};
-use crate::connection_limits::ConnectionLimits;
+use crate::connection_limits::{ConnectionLimits, server_memory};
 use crate::ingress::Ingress;
 use crate::listener::listen;
 
@@ -59,7 +59,12 @@
             .map_err(|cause| PlatformError::Listen { address: config.listen, cause })?;
         let address = listener.local_addr().map_err(PlatformError::ListenerAddress)?;
         let Config { discovery, seed, known, settings, limits, .. } = config;
-        let ConnectionLimits { clients, max_upstream_connections, connection_memory } = limits;
+        let ConnectionLimits {
+            clients,
+            max_upstream_connections,
+            connection_memory,
+            discovery_answer,
+        } = limits;
         let (settings, clock) = (Rc::new(settings), Clock::new());
         let memory = MemoryBudget::new(connection_memory);
         let budget = ConnectionBudget::new(max_upstream_connections, memory.clone());
@@ -69,6 +74,7 @@
             address: discovery,
             clock,
             dial: dial_tcp(),
+            max_answer_bytes: discovery_answer,
             revision,
             schedule: PollSchedule::new(poll_timing(&settings), seed, revision.is_none()),
         });
@@ -86,10 +92,13 @@
         }
         let longest_deadline = longest_deadline(&settings);
         let dialect = Dialect::Platform;
-        let frontend = Frontend::new(exchange.clone(), settings, dialect, clock, &clients, memory);
+        let frontend =
+            Frontend::new(exchange.clone(), settings, dialect, clock, &clients, memory.clone());
         let ingress = Ingress::open(frontend.clone(), vec![listener], longest_deadline);
+        let pool = exchange.clone();
         spawn_local(async move {
             loop {
+                memory.set_other(server_memory(pool.servers()));
                 sleep(SWEEP_INTERVAL).await;
                 frontend.sweep();
                 transport.sweep();
--- a/crates/sableloom/src/serve.rs
+++ b/crates/sableloom/src/serve.rs
@@ -61,7 +61,7 @@
     let mut signals = Signals::new()?;
     let (site, table) = load(&path).map_err(ServeError::Problems)?;
     let limits = connection_limits(&path, &site)?;
-    let ConnectionLimits { clients, max_upstream_connections, connection_memory } = limits;
+    let ConnectionLimits { clients, max_upstream_connections, connection_memory, .. } = limits;
     let mut listeners = Vec::new();
     if site.control.is_none() {
         listeners = bind(&path, &site)?;
--- a/crates/sableloom/tests/sockets/memory.rs
+++ b/crates/sableloom/tests/sockets/memory.rs
@@ -9,7 +9,8 @@
 use serde_json::{Value, json};
 
 use sableloom_testkit::{
-    Balancer, Conn, LONG, Message, Peer, config, entry, eventually, list, ok, post, read,
+    Balancer, Conn, Discovery, LONG, Message, Peer, Told, config, entry, eventually, list, named,
+    ok, post, read,
 };
 
 /// Limits of a deployment: `memory_mb` and `sockets`.
@@ -247,6 +248,29 @@
     }
 }
 
+/// Guards against a list that discovery sends taking the balancer over its memory.
+#[test]
+fn a_list_that_does_not_fit_into_the_memory_is_not_applied() {
+    let (discovery, known) = (Discovery::start(), named("known"));
+    let mut config = config(&[known.address]);
+    config["discovery"] = json!(discovery.address);
+    config["limits"] = json!({"cores": 1.0, "memory_mb": 24, "sockets": 256});
+    let balancer = Balancer::start(config);
+    let members: Vec<_> = (0..30_000)
+        .map(|n| entry(&format!("server-with-some-name-{n}"), known.address, "SERVING"))
+        .collect();
+    let long = list(2, true, &members);
+    // A poll that was given up meanwhile is followed by another.
+    thread::spawn(move || {
+        for (_, say) in &discovery.calls {
+            let _ = say.send(Told::Whole(long.clone()));
+        }
+    });
+    balancer.says(&["discovery", "the answer is too long"]);
+    assert_eq!(balancer.ask(read("1", "")).body, b"known");
+    check_memory(&balancer, (24, 256), "a long list");
+}
+
 /// One seeded round: random limits, and several crowds of random kinds one after the other. Usual clients, which hold a
 /// small part of the descriptors, get one answer to each request.
 fn play(seed: u64) {
