A body comes in 1,024 pieces at most

Cause: each chunk of a body costs a turn of its connection, and 64 KiB of them may have one byte each. Hundreds of such clients kept the balancer busy, and usual clients were answered late.

Change: a body in more than 1,024 pieces is answered 400. Admission is told of a connection's memory only when that has changed.

The new test fails without the bound (200).

--- a/crates/http1/src/front/body.rs
+++ b/crates/http1/src/front/body.rs
@@ -21,6 +21,10 @@
 /// which grows by doubling.
 const COPIES_OF_FORWARDED_REQUEST: usize = 3;
 
+/// The most pieces in which a body may come: chunks of 64 bytes for the largest. Each costs a turn of its connection,
+/// which hundreds of clients with chunks of one byte made late for everybody.
+const MAX_BODY_PIECES: usize = 1024;
+
 /// Reads a complete body, or returns the status that rejects it. The request, with the `head_bytes` that are kept of its
 /// head, is charged for what has arrived of it, and once it is complete for what forwarding it takes.
 pub(super) async fn read_body(
@@ -39,8 +43,13 @@
     context.charge_request(client, charge, partial).await.map_err(no_memory)?;
     // Copied into one buffer: pieces of a few bytes would each hold a buffer of their own.
     let mut bytes = Vec::new();
+    let mut pieces = 0;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() else { continue };
+        pieces += 1;
+        if pieces > MAX_BODY_PIECES {
+            return Err(StatusCode::BAD_REQUEST);
+        }
         let length = bytes.len() + data.len();
         if length > MAX_BODY_BYTES {
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
--- a/crates/http1/src/front/client_memory.rs
+++ b/crates/http1/src/front/client_memory.rs
@@ -29,6 +29,8 @@
     request: RefCell<MemoryCharge>,
     /// The bytes of the head that is being read.
     head_bytes: Cell<usize>,
+    /// What admission was told last that closing the connection frees, in bytes.
+    reported: Cell<usize>,
 }
 
 impl ClientMemory {
@@ -39,6 +41,7 @@
             write_buffer: RefCell::new(budget.charge()),
             request: RefCell::new(budget.charge()),
             head_bytes: Cell::new(0),
+            reported: Cell::new(0),
         }
     }
 
@@ -136,6 +139,9 @@
 
     fn memory_changed(&self, client: &ClientHandle) {
         let bytes = client.memory.bytes();
+        if client.memory.reported.replace(bytes) == bytes {
+            return;
+        }
         self.notify_admission(client, |admission, now, id| {
             admission.memory_changed(now, id, bytes);
         });
--- a/crates/sableloom/tests/sockets/bad_input.rs
+++ b/crates/sableloom/tests/sockets/bad_input.rs
@@ -22,6 +22,23 @@
     config.to_string()
 }
 
+/// Guards against clients that keep the balancer busy with chunks of one byte, so that it answers others too late.
+#[test]
+fn a_body_in_thousands_of_chunks_is_rejected_and_one_in_hundreds_is_served() {
+    let (upstream, _came) = Peer::upstream(|_, message, conn| {
+        conn.write(ok(&message.body.len().to_string()));
+        true
+    });
+    let balancer = Balancer::before(&[&upstream]);
+    let chunked = |id: &str, chunks: usize| {
+        let head =
+            post("pay", id, "", "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        head + &"1\r\nx\r\n".repeat(chunks) + "0\r\n\r\n"
+    };
+    assert_eq!(balancer.ask(chunked("hundreds", 900)).body, b"900");
+    assert_eq!(balancer.ask(chunked("thousands", 5_000)).status(), 400);
+}
+
 #[test]
 fn an_invalid_configuration_is_reported_with_its_field() {
     for (field, text) in [
