Memory: those who wait are noted once, and woken where there is room for them

Found in reading.

Change: one entry a task; a release wakes the first, which may find others to shed, and all those behind it that fit.

--- a/crates/http1/src/memory.rs
+++ b/crates/http1/src/memory.rs
@@ -137,30 +137,37 @@
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes who waits; once, however often it asks.
     fn wait(&self, waker: &Waker, bytes: usize) {
-        self.waiting().push_back(Waiting { waker: waker.clone(), bytes });
+        let mut waiting = self.waiting();
+        match waiting.iter_mut().find(|waiting| waiting.waker.will_wake(waker)) {
+            Some(waiting) => waiting.bytes = bytes,
+            None => waiting.push_back(Waiting { waker: waker.clone(), bytes }),
+        }
     }
 
-    /// Wakes the one that has waited longest, and of those behind it as many as there is memory for.
+    /// Wakes the one that has waited longest, which may find others to shed, and of those behind it all for whom there is
+    /// memory.
     fn wake_some(&self) {
         let mut free = self.share(CLIENT_SHARE).saturating_sub(self.used());
-        while let Some(Waiting { waker, bytes }) = self.pop_waiting() {
-            waker.wake();
-            match free.checked_sub(bytes) {
-                Some(left) => free = left,
-                None => return,
+        let mut waiting = self.waiting();
+        let Some(first) = waiting.pop_front() else { return };
+        free = free.saturating_sub(first.bytes);
+        first.waker.wake();
+        waiting.retain(|Waiting { waker, bytes }| {
+            let fits = *bytes <= free;
+            if fits {
+                free -= *bytes;
+                waker.wake_by_ref();
             }
-        }
+            !fits
+        });
     }
 
     fn wake_all(&self) {
         let waiting = std::mem::take(&mut *self.waiting());
         waiting.into_iter().for_each(|waiting| waiting.waker.wake());
     }
-
-    fn pop_waiting(&self) -> Option<Waiting> {
-        self.waiting().pop_front()
-    }
 }
 
 /// The memory that a message is charged for; released when this is dropped.
