http1: the charges of a connection and the front that grows them are two modules

Change: `client_memory` holds the charges, `memory_charges` what the front does with them; code is moved, none is changed.

--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -9,6 +9,7 @@
 mod dialect;
 mod frontend;
 mod length_scan;
+mod memory_charges;
 mod rejection;
 mod request;
 mod request_head;
--- a/crates/http1/src/front/connection.rs
+++ b/crates/http1/src/front/connection.rs
@@ -12,8 +12,8 @@
 use sableloom_types::Span;
 
 use super::client_handle::{ClientHandle, CloseMode};
-use super::client_memory::ClientReads;
 use super::context::FrontContext;
+use super::memory_charges::ClientReads;
 use super::rejection::rejection;
 use super::request::respond;
 use crate::hyper_io::HyperIo;
