--- a/review/rig-5/src/ending.rs
+++ b/review/rig-5/src/ending.rs
@@ -37,7 +37,7 @@
 
 pub fn run(root: &Path, folder: &Path, trouble: bool) -> io::Result<i32> {
     let record = Record::create(folder)?;
-    let temporary = Folder::create("ending")?;
+    let temporary = Folder::create_holdable("ending")?;
     let start = |name| Server::start(name, "127.0.0.1:0", 8, &record, 20);
     let (one, two) = (start("points-1")?, start("points-2")?);
     let port = free_port("127.0.0.1");
--- a/review/rig-5/src/hang.rs
+++ b/review/rig-5/src/hang.rs
@@ -63,7 +63,7 @@
 
 pub fn run(root: &Path, folder: &Path, trouble: bool) -> io::Result<i32> {
     let record = Record::create(folder)?;
-    let temporary = Folder::create("hang")?;
+    let temporary = Folder::create_holdable("hang")?;
     let start = |name, address: &str| Server::start(name, address, 8, &record, 20);
     let (points_1, points_2) =
         (start("points-1", "127.0.0.1:0")?, start("points-2", "127.0.0.1:0")?);
--- a/review/rig-5/src/kit.rs
+++ b/review/rig-5/src/kit.rs
@@ -45,15 +45,15 @@
 pub struct Folder(pub PathBuf);
 
 impl Folder {
-    /// Creates it where files can be held (see `disk`): in the temporary folder, or else in memory.
+    /// Creates it in the temporary folder.
     pub fn create(name: &str) -> io::Result<Self> {
-        let name = format!("sableloom-{name}-{}", std::process::id());
-        let bases = [std::env::temp_dir(), "/dev/shm".into()];
-        for base in &bases {
-            let folder = Self(base.join(&name));
-            if std::fs::create_dir_all(&folder.0).is_err() {
-                continue;
-            }
+        Self::create_in(&std::env::temp_dir(), name)
+    }
+
+    /// Creates it where files can be held (see `disk`): in the temporary folder, or else in memory.
+    pub fn create_holdable(name: &str) -> io::Result<Self> {
+        for base in [std::env::temp_dir(), "/dev/shm".into()] {
+            let Ok(folder) = Self::create_in(&base, name) else { continue };
             let trial = folder.0.join("trial");
             if std::fs::write(&trial, "").is_ok() && hold(&trial).is_ok() {
                 return Ok(folder);
@@ -62,6 +62,12 @@
         Err(io::Error::other("no folder whose files can be held"))
     }
 
+    fn create_in(base: &Path, name: &str) -> io::Result<Self> {
+        let folder = Self(base.join(format!("sableloom-{name}-{}", std::process::id())));
+        std::fs::create_dir_all(&folder.0)?;
+        Ok(folder)
+    }
+
     /// Writes a file beside its place and renames it.
     pub fn write(&self, name: &str, text: &str) -> io::Result<()> {
         let new = self.0.join(format!("{name}.new"));
--- a/review/rig-5/src/reload.rs
+++ b/review/rig-5/src/reload.rs
@@ -48,7 +48,7 @@
 
 pub fn run(root: &Path, folder: &Path, trouble: bool) -> io::Result<i32> {
     let record = Record::create(folder)?;
-    let temporary = Folder::create("reload")?;
+    let temporary = Folder::create_holdable("reload")?;
     let start = |name| Server::start(name, "127.0.0.1:0", 8, &record, 20);
     let (one, two) = (start("points-1")?, start("points-2")?);
     let port = free_port("127.0.0.1");
